--- /dev/null
+++ b/client/doc.go
@@ -0,0 +1,2 @@
+// Package client submits jobs to a zinniasill cluster.
+package client
--- /dev/null
+++ b/core/message/claim.go
@@ -0,0 +1,88 @@
+package message
+
+import (
+	"cmp"
+
+	"zinniasill"
+)
+
+// Register names one write-once register: the owner of a job in one term, held
+// by the claim group of one epoch.
+type Register struct {
+	Key   zinniasill.Key   `cbor:"1,keyasint"`
+	Term  zinniasill.Term  `cbor:"2,keyasint"`
+	Epoch zinniasill.Epoch `cbor:"3,keyasint"`
+}
+
+// Ballot orders the rounds of a register. Round 0 is the fast round, which is
+// open to every proposer.
+type Ballot struct {
+	Round    uint64            `cbor:"1,keyasint"`
+	Proposer zinniasill.NodeID `cbor:"2,keyasint"`
+}
+
+// Compare returns -1, 0 or 1 as b is lower than, equal to or higher than other.
+func (b Ballot) Compare(other Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, other.Round), cmp.Compare(b.Proposer, other.Proposer))
+}
+
+// Claim is the value of a register.
+type Claim struct {
+	Owner  zinniasill.Node   `cbor:"1,keyasint"`
+	Digest zinniasill.Digest `cbor:"2,keyasint"`
+	// Candidates are the agents that the owner may offer tasks to.
+	Candidates []zinniasill.Node `cbor:"3,keyasint"`
+	// Tombstone closes the register without an owner of the job. Owner is then the
+	// entry that closed it.
+	Tombstone bool `cbor:"4,keyasint,omitempty"`
+	// Refused is set on a tombstone that refuses the key for good.
+	Refused zinniasill.Reason `cbor:"5,keyasint,omitempty"`
+}
+
+// Equal reports whether two claims are the same value. An owner writes at most
+// one claim for a register, so the owner and the kind of claim identify it.
+func (c Claim) Equal(other Claim) bool {
+	return c.Owner == other.Owner && c.Tombstone == other.Tombstone && c.Refused == other.Refused
+}
+
+// ClaimFast asks an acceptor to accept a value in the fast round.
+type ClaimFast struct {
+	Register Register `cbor:"1,keyasint"`
+	Value    Claim    `cbor:"2,keyasint"`
+}
+
+// ClaimPrepare asks an acceptor to promise a ballot.
+type ClaimPrepare struct {
+	Register Register `cbor:"1,keyasint"`
+	Ballot   Ballot   `cbor:"2,keyasint"`
+}
+
+// ClaimAccept asks an acceptor to accept a value in a classic round.
+type ClaimAccept struct {
+	Register Register `cbor:"1,keyasint"`
+	Ballot   Ballot   `cbor:"2,keyasint"`
+	Value    Claim    `cbor:"3,keyasint"`
+}
+
+// ClaimRead asks an acceptor for its state without changing it.
+type ClaimRead struct {
+	Register Register `cbor:"1,keyasint"`
+}
+
+// ClaimReply is an acceptor's answer and carries its whole state of the register.
+type ClaimReply struct {
+	Register Register `cbor:"1,keyasint"`
+	// Ballot is the ballot of the request.
+	Ballot Ballot `cbor:"2,keyasint"`
+	// Prepare is true for the answer to a ClaimPrepare.
+	Prepare bool `cbor:"3,keyasint,omitempty"`
+	// OK is true when the promise was given or the value accepted.
+	OK       bool   `cbor:"4,keyasint,omitempty"`
+	Promised Ballot `cbor:"5,keyasint"`
+	// Accepted and Value are valid when HasValue is true.
+	HasValue bool   `cbor:"6,keyasint,omitempty"`
+	Accepted Ballot `cbor:"7,keyasint"`
+	Value    Claim  `cbor:"8,keyasint"`
+	// Expired is true when the register's epoch has left the retention window.
+	Expired bool `cbor:"9,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/message/task.go
@@ -0,0 +1,157 @@
+package message
+
+import (
+	"time"
+
+	"zinniasill"
+)
+
+// TaskState is the state of a task at one agent.
+type TaskState uint8
+
+// Values of TaskState.
+const (
+	// TaskUnseen means that the agent has no record of the task.
+	TaskUnseen TaskState = iota
+	// TaskQueued means that the task waits and will not start without a grant.
+	TaskQueued
+	// TaskRunning means that the task has started.
+	TaskRunning
+	// TaskFinished means that the task has started and ended; its outcome is known
+	// to the agent.
+	TaskFinished
+	// TaskClosed means that this attempt has not started and never will.
+	TaskClosed
+)
+
+// TaskRef names one attempt of one task.
+type TaskRef struct {
+	Index   zinniasill.TaskIndex `cbor:"1,keyasint"`
+	Attempt zinniasill.Attempt   `cbor:"2,keyasint"`
+}
+
+// TaskOffer is one task of an Offer.
+type TaskOffer struct {
+	Ref     TaskRef `cbor:"1,keyasint"`
+	Payload []byte  `cbor:"2,keyasint"`
+}
+
+// TaskStatus is an agent's report on one task.
+type TaskStatus struct {
+	Ref   TaskRef   `cbor:"1,keyasint"`
+	State TaskState `cbor:"2,keyasint"`
+	// Reason says why the attempt is closed.
+	Reason zinniasill.Reason `cbor:"3,keyasint,omitempty"`
+	// Outcome is set when the task has finished.
+	Outcome *zinniasill.Outcome `cbor:"4,keyasint,omitempty"`
+}
+
+// Offer asks an agent to take tasks of a job. The sender is the job's owner.
+type Offer struct {
+	Key  zinniasill.Key  `cbor:"1,keyasint"`
+	Term zinniasill.Term `cbor:"2,keyasint"`
+	// Epoch is the epoch of the job's claim; the agent keeps its records until
+	// that epoch leaves the retention window.
+	Epoch           zinniasill.Epoch       `cbor:"3,keyasint"`
+	Profile         zinniasill.ProfileName `cbor:"4,keyasint"`
+	Kind            zinniasill.Kind        `cbor:"5,keyasint"`
+	ExpectedRunTime time.Duration          `cbor:"6,keyasint"`
+	Tasks           []TaskOffer            `cbor:"7,keyasint"`
+}
+
+// OfferReply tells the owner the state of the offered tasks.
+type OfferReply struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskStatus    `cbor:"3,keyasint"`
+	Load  Load            `cbor:"4,keyasint"`
+}
+
+// Fetch asks the owner for leave to start queued tasks.
+type Fetch struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskRef       `cbor:"3,keyasint"`
+}
+
+// Grant lets an agent start queued tasks.
+type Grant struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskRef       `cbor:"3,keyasint"`
+}
+
+// Withdraw closes attempts that have not started.
+type Withdraw struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskRef       `cbor:"3,keyasint"`
+}
+
+// WithdrawReply tells the owner the state of withdrawn tasks.
+type WithdrawReply struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskStatus    `cbor:"3,keyasint"`
+	Load  Load            `cbor:"4,keyasint"`
+}
+
+// Fence makes an agent refuse every start of the job for a lower term.
+type Fence struct {
+	Key   zinniasill.Key   `cbor:"1,keyasint"`
+	Term  zinniasill.Term  `cbor:"2,keyasint"`
+	Epoch zinniasill.Epoch `cbor:"3,keyasint"`
+}
+
+// FenceReply lists every task of the job that the agent has started.
+type FenceReply struct {
+	Key  zinniasill.Key  `cbor:"1,keyasint"`
+	Term zinniasill.Term `cbor:"2,keyasint"`
+	// Fenced is the highest term that the agent is fenced for.
+	Fenced zinniasill.Term `cbor:"3,keyasint"`
+	Tasks  []TaskStatus    `cbor:"4,keyasint"`
+	Load   Load            `cbor:"5,keyasint"`
+	// Expired is true when the epoch has left the retention window, so that the
+	// agent's records of the job may be gone.
+	Expired bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Result reports finished tasks, and closed ones that the agent returns. It is
+// sent again until a ResultAck arrives.
+type Result struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskStatus    `cbor:"3,keyasint"`
+	Load  Load            `cbor:"4,keyasint"`
+}
+
+// ResultAck confirms reported tasks.
+type ResultAck struct {
+	Key   zinniasill.Key  `cbor:"1,keyasint"`
+	Term  zinniasill.Term `cbor:"2,keyasint"`
+	Tasks []TaskRef       `cbor:"3,keyasint"`
+}
+
+// Attach asks a job's owner for its answer.
+type Attach struct {
+	Key zinniasill.Key `cbor:"1,keyasint"`
+}
+
+// AttachReply is the owner's answer to Attach.
+type AttachReply struct {
+	Key zinniasill.Key `cbor:"1,keyasint"`
+	// Known is false when the owner has no such job.
+	Known bool `cbor:"2,keyasint"`
+	// Answer is nil while the job is in progress.
+	Answer *Answer `cbor:"3,keyasint,omitempty"`
+}
+
+// Answer is the final answer of a job: either complete with one output per task,
+// or failed.
+type Answer struct {
+	Complete bool              `cbor:"1,keyasint"`
+	Outputs  [][]byte          `cbor:"2,keyasint,omitempty"`
+	Code     zinniasill.Reason `cbor:"3,keyasint,omitempty"`
+	Ran      zinniasill.Ran    `cbor:"4,keyasint,omitempty"`
+	Message  string            `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/reason.go
@@ -0,0 +1,56 @@
+package zinniasill
+
+// Reason says why a job or a task was refused or failed. The values are part of
+// the HTTP interface and of the names of counters.
+type Reason string
+
+// Reasons for refusals and failures.
+const (
+	ReasonUnknownProfile Reason = "unknown-profile"
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonTooLarge       Reason = "too-large"
+	ReasonKeyReused      Reason = "key-reused"
+	ReasonEpochRequired  Reason = "epoch-required"
+	ReasonKeyExpired     Reason = "key-expired"
+	ReasonRecordLost     Reason = "record-lost"
+	ReasonOverload       Reason = "overload"
+	ReasonQuota          Reason = "quota"
+	ReasonNoEndpoint     Reason = "no-endpoint"
+	ReasonLeaseExpired   Reason = "lease-expired"
+	ReasonShuttingDown   Reason = "shutting-down"
+	ReasonDeadline       Reason = "deadline"
+	ReasonTaskFailed     Reason = "task-failed"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonOutcomeUnknown Reason = "outcome-unknown"
+	ReasonSuperseded     Reason = "superseded"
+	ReasonBusy           Reason = "busy"
+	ReasonAnswerEvicted  Reason = "answer-evicted"
+	ReasonDomainOut      Reason = "domain-out"
+	ReasonLeaving        Reason = "leaving"
+	ReasonWithdrawn      Reason = "withdrawn"
+)
+
+// Ran says whether the work of a refused or failed job ran.
+type Ran string
+
+// Values of Ran.
+const (
+	// NotRun means that no task started and that none will start.
+	NotRun Ran = "not-run"
+	// DidRun means that at least one task started and that all outcomes are known.
+	DidRun Ran = "ran"
+	// RanUnknown means that a task may have started.
+	RanUnknown Ran = "unknown"
+)
+
+// RefusalError is the error for a job that was refused or failed.
+type RefusalError struct {
+	Code    Reason
+	Ran     Ran
+	Message string
+}
+
+// Error implements error.
+func (r *RefusalError) Error() string {
+	return string(r.Code) + " (" + string(r.Ran) + "): " + r.Message
+}
