Add the submission, retry advice and counters to the shared types

Cause: the entry's core, its HTTP adapter and the client need one type for a submission and one for retry advice before they are built separately.

Change: message.Submission, Retry and Counters; Answer carries the advice.

--- a/core/message/task.go
+++ b/core/message/task.go
@@ -146,12 +146,27 @@
 	Answer *Answer `cbor:"3,keyasint,omitempty"`
 }
 
+// Submission is a job as a caller submits it.
+type Submission struct {
+	Key zinniasill.Key
+	// Stamp is the epoch in force when the caller first sent the job, 0 if the
+	// caller gave none.
+	Stamp    zinniasill.Epoch
+	Profile  zinniasill.ProfileName
+	Payloads [][]byte
+	// Digest covers the profile and all payloads.
+	Digest zinniasill.Digest
+}
+
 // Answer is the final answer of a job: either complete with one output per task,
-// or failed.
+// or failed or refused.
 type Answer struct {
 	Complete bool              `cbor:"1,keyasint"`
 	Outputs  [][]byte          `cbor:"2,keyasint,omitempty"`
 	Code     zinniasill.Reason `cbor:"3,keyasint,omitempty"`
 	Ran      zinniasill.Ran    `cbor:"4,keyasint,omitempty"`
 	Message  string            `cbor:"5,keyasint,omitempty"`
+	Retry    zinniasill.Retry  `cbor:"6,keyasint,omitempty"`
+	// RetryAfter is the least time to wait before a retry.
+	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
 }
--- a/interface.go
+++ b/interface.go
@@ -41,3 +41,10 @@
 type Runner interface {
 	Run(ctx context.Context, task Task) Outcome
 }
+
+// Counters counts events. Implementations must be safe for concurrent use.
+type Counters interface {
+	// Inc adds 1 to the counter name with the label reason. An empty reason means
+	// a counter without the label.
+	Inc(name string, reason Reason)
+}
--- a/reason.go
+++ b/reason.go
@@ -43,6 +43,20 @@
 	RanUnknown Ran = "unknown"
 )
 
+// Retry says how a caller may try again after a refusal or failure.
+type Retry string
+
+// Values of Retry.
+const (
+	// RetrySameKey means that the same submission may be sent again.
+	RetrySameKey Retry = "same-key"
+	// RetryNewKey means that this key is settled; the work may be submitted under a
+	// new key.
+	RetryNewKey Retry = "new-key"
+	// RetryNone means that a retry cannot succeed or is not safe.
+	RetryNone Retry = "none"
+)
+
 // RefusalError is the error for a job that was refused or failed.
 type RefusalError struct {
 	Code    Reason
