--- /dev/null
+++ b/core/consensus/member.go
@@ -0,0 +1,123 @@
+package consensus
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"zinniasill"
+)
+
+// clusterIDBytes is the length of a cluster id before it is written as hex.
+const clusterIDBytes = 16
+
+// Member is one replica. A replica that lost its disk has another instance and
+// is therefore another member.
+type Member struct {
+	Name     zinniasill.NodeID      `cbor:"1,keyasint"`
+	Instance zinniasill.Incarnation `cbor:"2,keyasint"`
+	Address  string                 `cbor:"3,keyasint"`
+}
+
+// Node returns the identity of the member.
+func (m Member) Node() zinniasill.Node {
+	return zinniasill.Node{ID: m.Name, Incarnation: m.Instance}
+}
+
+// Membership lists the replicas of a cluster. Memberships are never modified.
+type Membership struct {
+	Voters []Member `cbor:"1,keyasint"`
+	// Learners receive the log and do not vote.
+	Learners []Member `cbor:"2,keyasint,omitempty"`
+}
+
+// IsVoter reports whether node is a voter.
+func (m Membership) IsVoter(node zinniasill.Node) bool {
+	return indexNode(m.Voters, node) >= 0
+}
+
+// IsLearner reports whether node is a learner.
+func (m Membership) IsLearner(node zinniasill.Node) bool {
+	return indexNode(m.Learners, node) >= 0
+}
+
+// Names reports whether any instance of name is a member.
+func (m Membership) Names(name zinniasill.NodeID) bool {
+	return indexName(m.Voters, name) >= 0 || indexName(m.Learners, name) >= 0
+}
+
+// peers returns all members but self.
+func (m Membership) peers(self zinniasill.Node) []Member {
+	var peers []Member
+	for _, member := range m.Voters {
+		if member.Node() != self {
+			peers = append(peers, member)
+		}
+	}
+	for _, member := range m.Learners {
+		if member.Node() != self {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
+// withLearner returns the membership with one more learner, which replaces an
+// earlier learner of the same name.
+func (m Membership) withLearner(learner Member) Membership {
+	return Membership{
+		Voters:   m.Voters,
+		Learners: append(without(m.Learners, learner.Name), learner),
+	}
+}
+
+// withVoter returns the membership with a learner made a voter.
+func (m Membership) withVoter(voter Member) Membership {
+	voters := append(without(m.Voters, voter.Name), voter)
+	sortMembers(voters)
+	return Membership{Voters: voters, Learners: without(m.Learners, voter.Name)}
+}
+
+// withoutVoter returns the membership without the voter called name.
+func (m Membership) withoutVoter(name zinniasill.NodeID) Membership {
+	return Membership{Voters: without(m.Voters, name), Learners: m.Learners}
+}
+
+func without(members []Member, name zinniasill.NodeID) []Member {
+	var kept []Member
+	for _, member := range members {
+		if member.Name != name {
+			kept = append(kept, member)
+		}
+	}
+	return kept
+}
+
+func indexNode(members []Member, node zinniasill.Node) int {
+	return slices.IndexFunc(members, func(m Member) bool { return m.Node() == node })
+}
+
+func indexName(members []Member, name zinniasill.NodeID) int {
+	return slices.IndexFunc(members, func(m Member) bool { return m.Name == name })
+}
+
+func sortMembers(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Instance, b.Instance))
+	})
+}
+
+// clusterID returns the id of the cluster that the members form. Addresses are
+// part of it, because all members must write the same first entry.
+func clusterID(members []Member) zinniasill.ClusterID {
+	sorted := slices.Clone(members)
+	sortMembers(sorted)
+	var identities []byte
+	for _, member := range sorted {
+		identities = fmt.Appendf(identities, "%q %016x %q\n", member.Name, uint64(member.Instance), member.Address)
+	}
+	hash := sha256.Sum256(identities)
+	return zinniasill.ClusterID(hex.EncodeToString(hash[:clusterIDBytes]))
+}
