--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -15,6 +15,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"zinniasill"
@@ -105,6 +106,26 @@
 	Slots   int               `cbor:"5,keyasint" json:"slots"`
 	Kinds   []zinniasill.Kind `cbor:"6,keyasint" json:"kinds"`
 	State   ServeState        `cbor:"7,keyasint" json:"state"`
+	// Host is the agent that has taken over this agent's records at a planned
+	// stop. It is reported with the last renewals and is the zero Node before.
+	Host zinniasill.Node `cbor:"8,keyasint,omitzero" json:"-"`
+}
+
+// Equal reports whether two entries are the same.
+func (n NodeEntry) Equal(other NodeEntry) bool {
+	return n.Node == other.Node && n.Role == other.Role && n.Domain == other.Domain &&
+		n.Address == other.Address && n.Slots == other.Slots &&
+		slices.Equal(n.Kinds, other.Kinds) && n.State == other.State && n.Host == other.Host
+}
+
+// HostEntry says which agent holds the records of an agent that has stopped as
+// planned.
+type HostEntry struct {
+	Node zinniasill.Node `cbor:"1,keyasint" json:"node"`
+	Host zinniasill.Node `cbor:"2,keyasint" json:"host"`
+	// Until is the epoch that was current at the handover. No record of Node
+	// belongs to a later one, so the entry is dropped together with it.
+	Until zinniasill.Epoch `cbor:"3,keyasint" json:"until"`
 }
 
 // EpochMember is one agent that claim groups of an epoch are chosen from.
@@ -132,6 +153,8 @@
 	Epoch      *EpochEntry            `cbor:"8,keyasint,omitempty"`
 	DropEpochs zinniasill.Epoch       `cbor:"9,keyasint,omitempty"`
 	DropName   zinniasill.ProfileName `cbor:"10,keyasint,omitempty"`
+	// Handover also removes the stopped agent from the live nodes.
+	Handover *HostEntry `cbor:"11,keyasint,omitempty"`
 }
 
 // Catalog is one revision of the configuration. Use New.
@@ -144,6 +167,8 @@
 	Nodes     map[zinniasill.NodeID]NodeEntry     `cbor:"6,keyasint"`
 	// Epochs are the epochs of the retention window, oldest first.
 	Epochs []EpochEntry `cbor:"7,keyasint"`
+	// Hosts are the handovers of the retention window, by the stopped agent.
+	Hosts map[zinniasill.Node]HostEntry `cbor:"8,keyasint" json:"-"`
 }
 
 // New returns an empty catalog at revision 0.
@@ -154,6 +179,7 @@
 		Endpoints: map[zinniasill.NodeID]EndpointEntry{},
 		Teams:     map[zinniasill.Team]TeamEntry{},
 		Nodes:     map[zinniasill.NodeID]NodeEntry{},
+		Hosts:     map[zinniasill.Node]HostEntry{},
 	}
 }
 
@@ -168,6 +194,7 @@
 		Teams:     maps.Clone(c.Teams),
 		Nodes:     maps.Clone(c.Nodes),
 		Epochs:    append([]EpochEntry(nil), c.Epochs...),
+		Hosts:     maps.Clone(c.Hosts),
 	}
 }
 
@@ -197,6 +224,9 @@
 		c.dropEpochs(change.DropEpochs)
 	case change.DropName != "":
 		delete(c.Profiles, change.DropName)
+	case change.Handover != nil:
+		c.Hosts[change.Handover.Node] = *change.Handover
+		c.removeNode(change.Handover.Node)
 	}
 }
 
@@ -213,6 +243,27 @@
 		first++
 	}
 	c.Epochs = c.Epochs[first:]
+	maps.DeleteFunc(c.Hosts, func(_ zinniasill.Node, host HostEntry) bool {
+		return host.Until <= upTo
+	})
+}
+
+// Host returns the agent that holds the records of a stopped agent. It follows
+// later handovers of the host itself. The host may have died since; Alive tells.
+func (c *Catalog) Host(node zinniasill.Node) (zinniasill.Node, bool) {
+	host, ok := c.Hosts[node]
+	if !ok {
+		return zinniasill.Node{}, false
+	}
+	// Every handover goes to a node that is alive at that moment and ends its
+	// giver, so that the handovers form no cycle.
+	for {
+		next, ok := c.Hosts[host.Host]
+		if !ok {
+			return host.Host, true
+		}
+		host = next
+	}
 }
 
 // DomainIn reports whether a failure domain is in service.
--- /dev/null
+++ b/core/control/execute.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"cmp"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+)
+
+func compareNodes(a, b zinniasill.Node) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// conflict refuses a change whose base is not the object's current revision.
+func conflict(base, current zinniasill.Revision) (Result, bool) {
+	if base == current {
+		return Result{}, false
+	}
+	return Result{Code: CodeConflict, Revision: current}, true
+}
+
+func (m *Machine) putProfile(put PutProfile) Result {
+	profile := put.Profile
+	if result, ok := conflict(put.Base, m.catalog.Profiles[profile.Name].Revision); ok {
+		return result
+	}
+	profile.Revision = m.next()
+	return m.accept(catalog.Change{Profile: &profile})
+}
+
+func (m *Machine) deleteProfile(del DeleteProfile) Result {
+	current := m.catalog.Profiles[del.Name].Revision
+	if result, ok := conflict(del.Base, current); ok {
+		return result
+	}
+	if current != 0 {
+		m.accept(catalog.Change{DropName: del.Name})
+	}
+	return Result{}
+}
+
+func (m *Machine) putDomain(put PutDomain) Result {
+	if result, ok := conflict(put.Base, m.catalog.Domains[put.Name].Revision); ok {
+		return result
+	}
+	entry := catalog.DomainEntry{Name: put.Name, State: put.State, Revision: m.next()}
+	return m.accept(catalog.Change{Domain: &entry})
+}
+
+func (m *Machine) putEndpoint(put PutEndpoint) Result {
+	if result, ok := conflict(put.Base, m.catalog.Endpoints[put.Name].Revision); ok {
+		return result
+	}
+	entry := catalog.EndpointEntry{Name: put.Name, State: put.State, Revision: m.next()}
+	return m.accept(catalog.Change{Endpoint: &entry})
+}
+
+func (m *Machine) putTeam(put PutTeam) Result {
+	if result, ok := conflict(put.Base, m.catalog.Teams[put.Name].Revision); ok {
+		return result
+	}
+	entry := catalog.TeamEntry{Name: put.Name, Quota: put.Quota, Revision: m.next()}
+	return m.accept(catalog.Change{Team: &entry})
+}
+
+func (m *Machine) register(entry catalog.NodeEntry) Result {
+	if m.Dead(entry.Node) {
+		return Result{Code: CodeDead}
+	}
+	// Where the records go is listed by a handover only.
+	entry.Host = zinniasill.Node{}
+	listed, ok := m.catalog.Nodes[entry.Node.ID]
+	if ok && listed.Equal(entry) {
+		return Result{}
+	}
+	if ok && listed.Node != entry.Node {
+		m.bury(listed.Node)
+	}
+	return m.accept(catalog.Change{Node: &entry})
+}
+
+func (m *Machine) declareDead(node zinniasill.Node) Result {
+	if !m.catalog.Alive(node) {
+		return Result{}
+	}
+	m.bury(node)
+	return m.accept(catalog.Change{DeadNode: &node})
+}
+
+func (m *Machine) newEpoch(number zinniasill.Epoch) Result {
+	members := m.eligible()
+	// A claim group of no agents could not hold a claim, so the last epoch that
+	// has members stays in force.
+	if number != m.catalog.CurrentEpoch()+1 || len(members) == 0 {
+		return Result{Code: CodeEpoch}
+	}
+	return m.accept(catalog.Change{Epoch: &catalog.EpochEntry{Number: number, Members: members}})
+}
+
+func (m *Machine) dropEpochs(upTo zinniasill.Epoch) Result {
+	if upTo >= m.catalog.CurrentEpoch() {
+		return Result{Code: CodeEpoch}
+	}
+	if len(m.catalog.Epochs) == 0 || m.catalog.Epochs[0].Number > upTo {
+		return Result{}
+	}
+	return m.accept(catalog.Change{DropEpochs: upTo})
+}
+
+// handover ends the incarnation that has stopped. Its host must be alive, so that
+// handovers form no cycle.
+func (m *Machine) handover(move Handover) Result {
+	if host, ok := m.catalog.Hosts[move.Node]; ok && host.Host == move.Host {
+		return Result{}
+	}
+	if !m.catalog.Alive(move.Node) || m.catalog.Nodes[move.Node.ID].Role != catalog.RoleAgent {
+		return Result{Code: CodeDead}
+	}
+	host := m.catalog.Nodes[move.Host.ID]
+	if move.Host == move.Node || host.Node != move.Host || host.Role != catalog.RoleAgent {
+		return Result{Code: CodeNoHost}
+	}
+	m.bury(move.Node)
+	return m.accept(catalog.Change{Handover: &catalog.HostEntry{
+		Node:  move.Node,
+		Host:  move.Host,
+		Until: m.catalog.CurrentEpoch(),
+	}})
+}
--- /dev/null
+++ b/core/control/snapshot.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+)
+
+// ErrSnapshot is wrapped by the errors of Restore.
+var ErrSnapshot = eris.New("malformed snapshot")
+
+const snapshotVersion = 1
+
+// snapshot is the state of a Machine. The list of changes is not part of it: a
+// node that is behind a restored replica gets the full catalog.
+type snapshot struct {
+	Version  uint16            `cbor:"1,keyasint"`
+	Applied  uint64            `cbor:"2,keyasint"`
+	Catalog  *catalog.Catalog  `cbor:"3,keyasint"`
+	Requests []request         `cbor:"4,keyasint"`
+	Dead     []zinniasill.Node `cbor:"5,keyasint"`
+}
+
+// Snapshot returns the encoded state. Equal states have equal snapshots.
+func (m *Machine) Snapshot() []byte {
+	state := snapshot{
+		Version:  snapshotVersion,
+		Applied:  m.applied,
+		Catalog:  m.catalog,
+		Requests: make([]request, 0, len(m.requestOrder)),
+		Dead:     m.deadOrder,
+	}
+	for _, id := range m.requestOrder {
+		state.Requests = append(state.Requests, m.requests[id])
+	}
+	data, err := encoder.Marshal(state)
+	if err != nil {
+		// All types of the state can be encoded, so only a fault of the program
+		// leads here.
+		panic(eris.Wrap(err, "encode snapshot"))
+	}
+	return data
+}
+
+// Restore replaces the state by a snapshot. When the snapshot is malformed, it
+// returns an error that wraps ErrSnapshot and keeps the current state.
+func (m *Machine) Restore(data []byte) error {
+	var state snapshot
+	if err := decoder.Unmarshal(data, &state); err != nil {
+		return eris.Wrap(ErrSnapshot, err.Error())
+	}
+	if err := state.check(); err != nil {
+		return err
+	}
+	restored := New()
+	restored.applied = state.Applied
+	restored.catalog = state.Catalog
+	for _, req := range state.Requests {
+		restored.remember(req)
+	}
+	for _, node := range state.Dead {
+		restored.bury(node)
+	}
+	*m = *restored
+	return nil
+}
+
+func (s snapshot) check() error {
+	if s.Version != snapshotVersion {
+		return eris.Wrapf(ErrSnapshot, "version %d, known is %d", s.Version, snapshotVersion)
+	}
+	c := s.Catalog
+	if c == nil || c.Profiles == nil || c.Domains == nil || c.Endpoints == nil ||
+		c.Teams == nil || c.Nodes == nil || c.Hosts == nil {
+		return eris.Wrap(ErrSnapshot, "catalog is incomplete")
+	}
+	if len(s.Requests) > maxRequests || len(s.Dead) > maxDead {
+		return eris.Wrapf(ErrSnapshot, "%d request ids and %d dead nodes, limits %d and %d",
+			len(s.Requests), len(s.Dead), maxRequests, maxDead)
+	}
+	inOrder := slices.IsSortedFunc(c.Epochs, func(a, b catalog.EpochEntry) int {
+		return int(a.Number) - int(b.Number)
+	})
+	if !inOrder {
+		return eris.Wrap(ErrSnapshot, "epochs are out of order")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/control/validate.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/message"
+)
+
+// MaxName is the highest length of a name in bytes.
+const MaxName = 64
+
+// MaxAnswerWithin bounds the times of a profile. The system is for short tasks,
+// and records of a job are kept for 10 min.
+const MaxAnswerWithin = 10 * time.Minute
+
+// MaxRequestID is the highest length of a request id in bytes.
+const MaxRequestID = 128
+
+const maxKinds = 64
+
+// Finding is one fault of a value, with the field that has it.
+type Finding struct {
+	Field   string `cbor:"1,keyasint" json:"field"`
+	Problem string `cbor:"2,keyasint" json:"problem"`
+}
+
+// FindingErrors are all faults of a value.
+type FindingErrors []Finding
+
+// Error implements error and lists all findings.
+func (f FindingErrors) Error() string {
+	parts := make([]string, len(f))
+	for i, finding := range f {
+		parts[i] = finding.Field + ": " + finding.Problem
+	}
+	return strings.Join(parts, "; ")
+}
+
+func (f *FindingErrors) add(field, format string, args ...any) {
+	*f = append(*f, Finding{Field: field, Problem: fmt.Sprintf(format, args...)})
+}
+
+// ValidName reports whether a name has 1 to MaxName letters, digits, '-', '_' or
+// '.', and begins with a letter or a digit.
+func ValidName(name string) bool {
+	if name == "" || len(name) > MaxName {
+		return false
+	}
+	for i := range len(name) {
+		c := name[i]
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case i > 0 && (c == '-' || c == '_' || c == '.'):
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func (f *FindingErrors) name(field, name string) {
+	switch {
+	case name == "":
+		f.add(field, "is required")
+	case !ValidName(name):
+		f.add(field, "%.80q must have at most %d letters, digits, '-', '_' or '.' and begin with a letter or digit", name, MaxName)
+	}
+}
+
+// ValidateProfile returns all faults of a profile.
+func ValidateProfile(profile catalog.Profile) FindingErrors {
+	var found FindingErrors
+	found.name("name", string(profile.Name))
+	found.name("kind", string(profile.Kind))
+	found.times(profile)
+	switch profile.Repeat {
+	case catalog.RepeatNever, catalog.RepeatResubmit:
+	default:
+		found.add("repeat", "%.80q must be %s or %s", profile.Repeat, catalog.RepeatNever, catalog.RepeatResubmit)
+	}
+	seen := map[zinniasill.Domain]bool{}
+	for i, domain := range profile.Domains {
+		field := fmt.Sprintf("domains[%d]", i)
+		found.name(field, string(domain))
+		if seen[domain] {
+			found.add(field, "%.80q is listed twice", domain)
+		}
+		seen[domain] = true
+	}
+	if profile.MaxTasks < 1 || profile.MaxTasks > message.MaxTasks {
+		found.add("max-tasks", "%d must be from 1 to %d", profile.MaxTasks, message.MaxTasks)
+	}
+	return found
+}
+
+func (f *FindingErrors) times(profile catalog.Profile) {
+	if profile.AnswerWithin <= 0 || profile.AnswerWithin > MaxAnswerWithin {
+		f.add("answer-within", "%s must be more than 0s and at most %s", profile.AnswerWithin, MaxAnswerWithin)
+	}
+	if profile.ExpectedRunTime <= 0 {
+		f.add("expected-run-time", "%s must be more than 0s", profile.ExpectedRunTime)
+	}
+	if profile.AnswerWithin > 0 && profile.ExpectedRunTime > profile.AnswerWithin {
+		f.add("expected-run-time", "%s is longer than answer-within %s", profile.ExpectedRunTime, profile.AnswerWithin)
+	}
+}
+
+// Validate returns all faults of a command. Apply refuses a command that has
+// any, so that a check before proposing only saves an entry of the log.
+func (c Command) Validate() FindingErrors {
+	var found FindingErrors
+	if c.byOperator() {
+		found.request(c.Request)
+	}
+	switch {
+	case c.Profile != nil:
+		found = append(found, ValidateProfile(c.Profile.Profile)...)
+	case c.Delete != nil:
+		found.name("name", string(c.Delete.Name))
+	case c.Domain != nil:
+		found.name("name", string(c.Domain.Name))
+		if c.Domain.State != catalog.DomainIn && c.Domain.State != catalog.DomainOut {
+			found.add("state", "%.80q must be %s or %s", c.Domain.State, catalog.DomainIn, catalog.DomainOut)
+		}
+	case c.Endpoint != nil:
+		found.name("name", string(c.Endpoint.Name))
+		found.serveState(c.Endpoint.State)
+	case c.Team != nil:
+		found.name("name", string(c.Team.Name))
+		if c.Team.Quota < 0 {
+			found.add("quota", "%d must not be negative", c.Team.Quota)
+		}
+	case c.Register != nil:
+		found.node(c.Register.Entry)
+	}
+	return found
+}
+
+func (f *FindingErrors) request(id RequestID) {
+	if id == "" || len(id) > MaxRequestID {
+		f.add("request-id", "must have 1 to %d bytes", MaxRequestID)
+	}
+}
+
+func (f *FindingErrors) serveState(state catalog.ServeState) {
+	if state != catalog.Serving && state != catalog.Leaving {
+		f.add("state", "%.80q must be %s or %s", state, catalog.Serving, catalog.Leaving)
+	}
+}
+
+func (f *FindingErrors) node(entry catalog.NodeEntry) {
+	f.name("id", string(entry.Node.ID))
+	if entry.Node.Incarnation == 0 {
+		f.add("incarnation", "must not be 0")
+	}
+	if entry.Role != catalog.RoleEntry && entry.Role != catalog.RoleAgent {
+		f.add("role", "%.80q must be %s or %s", entry.Role, catalog.RoleEntry, catalog.RoleAgent)
+	}
+	f.name("domain", string(entry.Domain))
+	if entry.Address == "" || len(entry.Address) > MaxRequestID {
+		f.add("address", "must have 1 to %d bytes", MaxRequestID)
+	}
+	if entry.Slots < 0 {
+		f.add("slots", "%d must not be negative", entry.Slots)
+	}
+	if len(entry.Kinds) > maxKinds {
+		f.add("kinds", "%d kinds, limit %d", len(entry.Kinds), maxKinds)
+	}
+	for i, kind := range entry.Kinds {
+		f.name(fmt.Sprintf("kinds[%d]", i), string(kind))
+	}
+	f.serveState(entry.State)
+}
