Add the operators' HTTP interface and its client

Cause: operators change profiles, domains, endpoints and teams through control, and a change whose answer was lost must be safe to send again.

Requests that wait for a read index are kept as data instead of closures, so that a model check can copy them.

--- a/core/control/answers.go
+++ b/core/control/answers.go
@@ -1,6 +1,11 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"zinniasill/core/catalog"
+	"zinniasill/core/message"
+)
 
 const (
 	// renewTimeout is the time for which a renewal waits for its answer. The node
@@ -13,14 +18,11 @@
 	readTimeout = time.Second
 )
 
-// waiter is a request that waits for a read index.
+// waiter is a request that waits for a read index: a renewal or a read.
 type waiter struct {
 	deadline time.Time
-	// ready, if set, is a further condition on the applied state.
-	ready  func() bool
-	answer func()
-	// expire, if set, is called when the deadline has passed.
-	expire func()
+	renew    *message.Renew
+	read     func(*catalog.Catalog, error)
 }
 
 // batch is a set of requests that share one read index.
@@ -63,7 +65,7 @@
 	return []uint64{a.lastID}
 }
 
-func (a *answers) confirmed(id, index, applied uint64) {
+func (a *answers) confirmed(id, index uint64) {
 	for i, b := range a.inFlight {
 		if b.id != id {
 			continue
@@ -72,22 +74,24 @@
 		for _, w := range b.waiters {
 			a.confirmedAt = append(a.confirmedAt, confirmedWaiter{waiter: w, index: index})
 		}
-		break
+		return
 	}
-	a.applied(applied)
 }
 
-// applied answers the confirmed requests that the applied state suffices for.
-func (a *answers) applied(applied uint64) {
+// take removes and returns the confirmed requests that the applied state suffices
+// for and that are ready.
+func (a *answers) take(applied uint64, ready func(waiter) bool) []waiter {
+	var taken []waiter
 	waiters := a.confirmedAt
 	a.confirmedAt = nil
 	for _, w := range waiters {
-		if w.index > applied || (w.ready != nil && !w.ready()) {
+		if w.index <= applied && ready(w.waiter) {
+			taken = append(taken, w.waiter)
+		} else {
 			a.confirmedAt = append(a.confirmedAt, w)
-			continue
 		}
-		w.answer()
 	}
+	return taken
 }
 
 // tick drops requests after their deadline. Reads that were given up are asked
@@ -123,8 +127,8 @@
 	if now.Before(w.deadline) {
 		return true
 	}
-	if w.expire != nil {
-		w.expire()
+	if w.read != nil {
+		w.read(nil, ErrTimeout)
 	}
 	return false
 }
--- a/core/control/command.go
+++ b/core/control/command.go
@@ -108,7 +108,7 @@
 	Host zinniasill.Node `cbor:"2,keyasint"`
 }
 
-// Limits of the decoder. A snapshot holds maxDead and maxRequests elements.
+// Limits of the decoder. They leave room for the lists of a snapshot.
 const (
 	maxNesting  = 16
 	maxElements = 1 << 20
--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -10,18 +10,20 @@
 	"zinniasill/core/catalog"
 )
 
-// Bounds of what the machine remembers.
-const (
-	// maxRequests bounds the request ids that are recognised. It is nearly two
-	// days of changes at 4,300 a day.
-	maxRequests = 8192
-	// maxDead bounds the incarnations that are known to be dead. It is 177 days at
-	// 370 restarts a day.
-	maxDead = 65536
-	// maxChanges bounds the changes that are sent one by one. A node that misses
-	// more gets the full catalog.
-	maxChanges = 4096
-)
+// limits bounds what a machine remembers.
+type limits struct {
+	// requests bounds the request ids that are recognised.
+	requests int
+	// dead bounds the incarnations that are known to be dead.
+	dead int
+	// changes bounds the changes that are sent one by one. A node that misses more
+	// gets the full catalog.
+	changes int
+}
+
+// defaultLimits are nearly two days of changes at 4,300 a day, and 177 days of
+// dead incarnations at 370 restarts a day.
+var defaultLimits = limits{requests: 8192, dead: 65536, changes: 4096}
 
 // Code says why a command was refused. It is empty when the command was applied.
 type Code string
@@ -68,6 +70,7 @@
 // Machine is the configuration state of a cluster. It is not safe for concurrent
 // use. Use New.
 type Machine struct {
+	limits  limits
 	applied uint64
 	catalog *catalog.Catalog
 	// shared is true when the catalog was handed out and must be copied before it
@@ -85,6 +88,7 @@
 // New returns a machine without any configuration.
 func New() *Machine {
 	return &Machine{
+		limits:   defaultLimits,
 		catalog:  catalog.New(),
 		requests: map[RequestID]request{},
 		dead:     map[zinniasill.Node]struct{}{},
@@ -160,7 +164,7 @@
 func (m *Machine) remember(req request) {
 	m.requests[req.ID] = req
 	m.requestOrder = append(m.requestOrder, req.ID)
-	if len(m.requestOrder) > maxRequests {
+	if len(m.requestOrder) > m.limits.requests {
 		delete(m.requests, m.requestOrder[0])
 		m.requestOrder = m.requestOrder[1:]
 	}
@@ -208,7 +212,7 @@
 	change.Revision = m.next()
 	m.catalog.Apply(change)
 	m.changes = append(m.changes, change)
-	if len(m.changes) > maxChanges {
+	if len(m.changes) > m.limits.changes {
 		m.changes = m.changes[1:]
 	}
 	return Result{Revision: change.Revision}
@@ -220,7 +224,7 @@
 	}
 	m.dead[node] = struct{}{}
 	m.deadOrder = append(m.deadOrder, node)
-	if len(m.deadOrder) > maxDead {
+	if len(m.deadOrder) > m.limits.dead {
 		delete(m.dead, m.deadOrder[0])
 		m.deadOrder = m.deadOrder[1:]
 	}
--- a/core/control/server.go
+++ b/core/control/server.go
@@ -127,19 +127,30 @@
 	} else {
 		s.seen = append(s.seen, renew.Entry)
 	}
-	s.answers.add(waiter{
-		deadline: now.Add(renewTimeout),
-		ready:    func() bool { return s.known(renew.Entry.Node) },
-		answer:   func() { s.reply(renew) },
-	})
+	s.answers.add(waiter{deadline: now.Add(renewTimeout), renew: &renew})
 }
 
-// known reports whether a node is registered or dead. A node gets no lease before
-// it is registered, because nothing would watch it.
-func (s *Server) known(node zinniasill.Node) bool {
+// ready reports whether a request can be answered. A node gets no lease before it
+// is registered, because nothing would watch it.
+func (s *Server) ready(w waiter) bool {
+	if w.renew == nil {
+		return true
+	}
+	node := w.renew.Entry.Node
 	return s.machine.Dead(node) || s.machine.catalog.Alive(node)
 }
 
+// answerReady answers the requests whose read index is applied.
+func (s *Server) answerReady() {
+	for _, w := range s.answers.take(s.machine.Applied(), s.ready) {
+		if w.renew != nil {
+			s.reply(*w.renew)
+		} else {
+			w.read(s.machine.Catalog(), nil)
+		}
+	}
+}
+
 // reply answers a renewal. It must run only after a read index that was asked for
 // after the renewal arrived has been confirmed and applied: otherwise a replica
 // that was cut off would extend leases without knowing the latest changes.
@@ -206,11 +217,7 @@
 // Read calls done once, with a configuration that holds every change accepted
 // before the call, or with ErrTimeout.
 func (s *Server) Read(now time.Time, done func(*catalog.Catalog, error)) {
-	s.answers.add(waiter{
-		deadline: now.Add(operatorTimeout),
-		answer:   func() { done(s.machine.Catalog(), nil) },
-		expire:   func() { done(nil, ErrTimeout) },
-	})
+	s.answers.add(waiter{deadline: now.Add(operatorTimeout), read: done})
 }
 
 // Apply applies a committed command and answers what waits for it. The replica
@@ -223,7 +230,7 @@
 	if command, err := Decode(data); err == nil && command.Request != "" {
 		s.finish(command.Request, data, result)
 	}
-	s.answers.applied(index)
+	s.answerReady()
 	return result
 }
 
@@ -246,7 +253,7 @@
 // Advance records a committed entry that is no command.
 func (s *Server) Advance(index uint64) {
 	s.machine.Advance(index)
-	s.answers.applied(s.machine.Applied())
+	s.answerReady()
 }
 
 // Restore replaces the machine's state by a snapshot from another replica.
@@ -254,7 +261,7 @@
 	if err := s.machine.Restore(data); err != nil {
 		return err
 	}
-	s.answers.applied(s.machine.Applied())
+	s.answerReady()
 	return nil
 }
 
@@ -262,15 +269,21 @@
 // followed the leader since the read was asked for, and everything accepted
 // before has an index of at most index.
 func (s *Server) ReadConfirmed(id, index uint64) {
-	s.answers.confirmed(id, index, s.machine.Applied())
+	s.answers.confirmed(id, index)
+	s.answerReady()
 }
 
 // Tick handles the passing of time.
 func (s *Server) Tick(now time.Time) {
 	s.duties.Tick(now)
 	s.answers.tick(now)
-	s.answers.applied(s.machine.Applied())
+	s.answerReady()
 	s.tellLeader()
+	s.tickSubmissions(now)
+}
+
+// tickSubmissions proposes commands again and ends those past their deadline.
+func (s *Server) tickSubmissions(now time.Time) {
 	order := s.order[:0]
 	for _, id := range s.order {
 		waiting, ok := s.submitted[id]
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -52,10 +52,11 @@
 	if err := decoder.Unmarshal(data, &state); err != nil {
 		return eris.Wrap(ErrSnapshot, err.Error())
 	}
-	if err := state.check(); err != nil {
+	if err := state.check(m.limits); err != nil {
 		return err
 	}
 	restored := New()
+	restored.limits = m.limits
 	restored.applied = state.Applied
 	restored.catalog = state.Catalog
 	for _, req := range state.Requests {
@@ -68,7 +69,7 @@
 	return nil
 }
 
-func (s snapshot) check() error {
+func (s snapshot) check(limit limits) error {
 	if s.Version != snapshotVersion {
 		return eris.Wrapf(ErrSnapshot, "version %d, known is %d", s.Version, snapshotVersion)
 	}
@@ -77,9 +78,9 @@
 		c.Teams == nil || c.Nodes == nil || c.Hosts == nil {
 		return eris.Wrap(ErrSnapshot, "catalog is incomplete")
 	}
-	if len(s.Requests) > maxRequests || len(s.Dead) > maxDead {
+	if len(s.Requests) > limit.requests || len(s.Dead) > limit.dead {
 		return eris.Wrapf(ErrSnapshot, "%d request ids and %d dead nodes, limits %d and %d",
-			len(s.Requests), len(s.Dead), maxRequests, maxDead)
+			len(s.Requests), len(s.Dead), limit.requests, limit.dead)
 	}
 	inOrder := slices.IsSortedFunc(c.Epochs, func(a, b catalog.EpochEntry) int {
 		return int(a.Number) - int(b.Number)
--- /dev/null
+++ b/io/operator/client.go
@@ -0,0 +1,211 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+)
+
+const (
+	// attemptTimeout bounds one attempt. A replica without a majority answers
+	// after 5 s.
+	attemptTimeout = 6 * time.Second
+	// rounds is how often each address is tried.
+	rounds = 2
+	// maxAnswer bounds the size of an answer in bytes. A status with 1,400 nodes
+	// has less than 1 MiB.
+	maxAnswer = 8 << 20
+)
+
+// ErrNoAddress is returned by a client without addresses.
+var ErrNoAddress = eris.New("no address of a control replica")
+
+// Client is a client for the operators' resources. It tries the addresses in
+// turn, and sends a change whose outcome is not known again with the same request
+// id. Errors that a replica answered are of type *Error.
+type Client struct {
+	// Addresses are the control replicas as host:port.
+	Addresses []string
+	// HTTP is http.DefaultClient if nil.
+	HTTP *http.Client
+}
+
+// Profile returns a profile with its revision.
+func (c Client) Profile(ctx context.Context, name zinniasill.ProfileName) (catalog.Profile, error) {
+	var view ProfileView
+	err := c.do(ctx, http.MethodGet, path("profiles", string(name)), nil, &view)
+	profile := view.catalog()
+	profile.Revision = view.Revision
+	return profile, err
+}
+
+// PutProfile creates or replaces a profile and returns its new revision.
+func (c Client) PutProfile(ctx context.Context, profile catalog.Profile, edit Edit) (zinniasill.Revision, error) {
+	body := struct {
+		Edit
+		Profile
+	}{edit, newProfile(profile)}
+	return c.change(ctx, http.MethodPut, path("profiles", string(profile.Name)), body)
+}
+
+// DeleteProfile removes a profile.
+func (c Client) DeleteProfile(ctx context.Context, name zinniasill.ProfileName, edit Edit) error {
+	_, err := c.change(ctx, http.MethodDelete, path("profiles", string(name)), edit)
+	return err
+}
+
+// Domain returns the state of a failure domain.
+func (c Client) Domain(ctx context.Context, name zinniasill.Domain) (catalog.DomainEntry, error) {
+	var entry catalog.DomainEntry
+	err := c.do(ctx, http.MethodGet, path("domains", string(name)), nil, &entry)
+	return entry, err
+}
+
+// PutDomain takes a failure domain out of service or returns it.
+func (c Client) PutDomain(ctx context.Context, name zinniasill.Domain, state catalog.DomainState, edit Edit) (zinniasill.Revision, error) {
+	body := struct {
+		Edit
+		State catalog.DomainState `json:"state"`
+	}{edit, state}
+	return c.change(ctx, http.MethodPut, path("domains", string(name)), body)
+}
+
+// Endpoint returns what operators decided on an endpoint.
+func (c Client) Endpoint(ctx context.Context, name zinniasill.NodeID) (catalog.EndpointEntry, error) {
+	var entry catalog.EndpointEntry
+	err := c.do(ctx, http.MethodGet, path("endpoints", string(name)), nil, &entry)
+	return entry, err
+}
+
+// PutEndpoint makes an endpoint leave or serve.
+func (c Client) PutEndpoint(ctx context.Context, name zinniasill.NodeID, state catalog.ServeState, edit Edit) (zinniasill.Revision, error) {
+	body := struct {
+		Edit
+		State catalog.ServeState `json:"state"`
+	}{edit, state}
+	return c.change(ctx, http.MethodPut, path("endpoints", string(name)), body)
+}
+
+// Team returns the quota of a team.
+func (c Client) Team(ctx context.Context, name zinniasill.Team) (catalog.TeamEntry, error) {
+	var entry catalog.TeamEntry
+	err := c.do(ctx, http.MethodGet, path("teams", string(name)), nil, &entry)
+	return entry, err
+}
+
+// PutTeam sets the quota of a team. A quota of 0 means no limit.
+func (c Client) PutTeam(ctx context.Context, name zinniasill.Team, quota int, edit Edit) (zinniasill.Revision, error) {
+	body := struct {
+		Edit
+		Quota int `json:"quota"`
+	}{edit, quota}
+	return c.change(ctx, http.MethodPut, path("teams", string(name)), body)
+}
+
+// Members returns the control replicas.
+func (c Client) Members(ctx context.Context) ([]Member, error) {
+	var members Members
+	err := c.do(ctx, http.MethodGet, "/v1/members", nil, &members)
+	return members.Members, err
+}
+
+// ChangeMember adds or removes one control replica.
+func (c Client) ChangeMember(ctx context.Context, change MemberChange) error {
+	return c.do(ctx, http.MethodPost, "/v1/members", change, nil)
+}
+
+// Status returns the state of the cluster.
+func (c Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.do(ctx, http.MethodGet, "/v1/status", nil, &status)
+	return status, err
+}
+
+func path(kind, name string) string {
+	return "/v1/" + kind + "/" + url.PathEscape(name)
+}
+
+func (c Client) change(ctx context.Context, method, path string, body any) (zinniasill.Revision, error) {
+	var accepted Accepted
+	err := c.do(ctx, method, path, body, &accepted)
+	return accepted.Revision, err
+}
+
+// do sends the request to one address after the other until one answers. The
+// body, and with it the request id, is the same in all attempts.
+func (c Client) do(ctx context.Context, method, path string, body, into any) error {
+	if len(c.Addresses) == 0 {
+		return ErrNoAddress
+	}
+	var data []byte
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return eris.Wrap(err, "encode request")
+		}
+		data = encoded
+	}
+	var last error
+	for attempt := range rounds * len(c.Addresses) {
+		address := c.Addresses[attempt%len(c.Addresses)]
+		last = c.attempt(ctx, method, "http://"+address+path, data, into)
+		if last == nil || ctx.Err() != nil || !again(last) {
+			return last
+		}
+	}
+	return last
+}
+
+// again reports whether another attempt is of use: a refusal is final, any other
+// failure is not.
+func again(err error) bool {
+	var answered *Error
+	return !eris.As(err, &answered) || answered.retryable()
+}
+
+func (c Client) attempt(ctx context.Context, method, target string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrapf(err, "build request to %s", target)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "send request to %s", target)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return eris.Wrapf(err, "read answer of %s", target)
+	}
+	if response.StatusCode != http.StatusOK {
+		return parseError(response.StatusCode, target, data)
+	}
+	if into == nil {
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(data, into), "decode answer of %s", target)
+}
+
+func parseError(status int, target string, data []byte) error {
+	failure := &Error{Status: status}
+	if err := json.Unmarshal(data, failure); err != nil || failure.Code == "" {
+		return eris.Errorf("%s answered status %d without an error body", target, status)
+	}
+	return failure
+}
