--- /dev/null
+++ b/core/placement/failing.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"zinniasill"
+	"zinniasill/core/catalog"
+)
+
+// Detection of agents that fail nearly everything.
+const (
+	// minOutcomes is the number of outcomes of one profile before an agent is
+	// judged. Fewer would eject agents for single bad tasks.
+	minOutcomes = 8
+	// failingPart is the part of failed outcomes from which an agent may be failing.
+	failingPart = 0.9
+	// healthyPart is the part of failed outcomes of the other agents up to which the
+	// fault is the agent's. Above it the job or the profile fails everywhere.
+	healthyPart = 0.5
+	// windowOutcomes bounds the memory: counts are halved when they reach it.
+	windowOutcomes = 64
+)
+
+// record counts recent outcomes.
+type record struct {
+	failed    float64
+	succeeded float64
+}
+
+func (r *record) add(ok bool) {
+	if ok {
+		r.succeeded++
+	} else {
+		r.failed++
+	}
+	if r.failed+r.succeeded >= windowOutcomes {
+		r.failed /= 2
+		r.succeeded /= 2
+	}
+}
+
+func (r *record) count() float64 {
+	return r.failed + r.succeeded
+}
+
+func (r *record) failedPart() float64 {
+	if r.count() == 0 {
+		return 0
+	}
+	return r.failed / r.count()
+}
+
+// Finished counts the outcome of a task. An agent is failing when it fails nearly
+// all tasks of a profile that others complete; one success ends that.
+func (v *Views) Finished(node zinniasill.Node, profile catalog.Profile, ok bool) {
+	a := v.agent(node)
+	if a == nil {
+		return
+	}
+	a.probing = max(0, a.probing-1)
+	own := a.outcomes[profile.Name]
+	if own == nil {
+		own = &record{}
+		a.outcomes[profile.Name] = own
+	}
+	own.add(ok)
+	if ok {
+		a.Failing = false
+		a.probing = 0
+		own.failed = 0
+		return
+	}
+	if own.count() < minOutcomes || own.failedPart() < failingPart {
+		return
+	}
+	a.Failing = a.Failing || v.othersSucceed(node, profile)
+}
+
+// Returned ends a probe whose task did not start.
+func (v *Views) Returned(node zinniasill.Node) {
+	if a := v.agent(node); a != nil {
+		a.probing = max(0, a.probing-1)
+	}
+}
+
+// othersSucceed reports whether the other agents complete tasks of a profile.
+func (v *Views) othersSucceed(node zinniasill.Node, profile catalog.Profile) bool {
+	var others record
+	for id, a := range v.agents {
+		if id == node.ID || a.outcomes[profile.Name] == nil || a.Failing {
+			continue
+		}
+		others.failed += a.outcomes[profile.Name].failed
+		others.succeeded += a.outcomes[profile.Name].succeeded
+	}
+	return others.succeeded > 0 && others.failedPart() <= healthyPart
+}
--- /dev/null
+++ b/core/placement/picker.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"zinniasill"
+)
+
+// SlowStart is the time over which the share of an agent that became eligible
+// grows to a full one.
+const SlowStart = 2 * time.Second
+
+// minShare keeps the first task of an agent in slow start possible.
+const minShare = 0.05
+
+// maxSamples bounds the random draws for one sample before the agents are
+// searched in order.
+const maxSamples = 8
+
+// BetterOfTwo samples two agents and chooses the one that a task is expected to
+// start on first. The choice costs the same for any number of agents, and it
+// avoids the herding on one agent that a choice of the best of all causes when
+// reports are old.
+type BetterOfTwo struct {
+	Rand *rand.Rand
+}
+
+// Pick implements zinniasill.Picker.
+func (b *BetterOfTwo) Pick(now time.Time, agents []*zinniasill.AgentView, usable func(*zinniasill.AgentView) bool) int {
+	first := b.sample(now, agents, usable, -1)
+	if first < 0 {
+		return -1
+	}
+	second := b.sample(now, agents, usable, first)
+	if second >= 0 && score(now, agents[second]) < score(now, agents[first]) {
+		return second
+	}
+	return first
+}
+
+// sample draws a usable agent other than the one at index not. Agents in slow
+// start are passed over with a probability that falls with their age.
+func (b *BetterOfTwo) sample(now time.Time, agents []*zinniasill.AgentView, usable func(*zinniasill.AgentView) bool, not int) int {
+	if len(agents) == 0 {
+		return -1
+	}
+	for range maxSamples {
+		at := b.Rand.IntN(len(agents))
+		if at == not || !usable(agents[at]) {
+			continue
+		}
+		share := share(now, agents[at])
+		if share >= 1 || b.Rand.Float64() < share {
+			return at
+		}
+	}
+	return scan(b.Rand.IntN(len(agents)), agents, usable, not)
+}
+
+// scan returns the first usable agent from index start on, in a circle. Agents
+// that are not ready for a full share are taken too.
+func scan(start int, agents []*zinniasill.AgentView, usable func(*zinniasill.AgentView) bool, not int) int {
+	for offset := range agents {
+		at := (start + offset) % len(agents)
+		if at != not && usable(agents[at]) {
+			return at
+		}
+	}
+	return -1
+}
+
+// share returns the part of a full share of work that an agent gets, up to 1.
+func share(now time.Time, agent *zinniasill.AgentView) float64 {
+	age := now.Sub(agent.Joined)
+	if agent.Joined.IsZero() || age >= SlowStart {
+		return 1
+	}
+	return max(minShare, float64(age)/float64(SlowStart))
+}
+
+// score orders agents: below 1 it is the part of the slots in use, from 1 on it
+// is 1 plus the seconds until a slot is free for one more task. Reported work
+// that should have been done since the report does not count.
+func score(now time.Time, agent *zinniasill.AgentView) float64 {
+	slots := max(agent.Slots, 1)
+	inUse := agent.Busy + agent.Queued + agent.Unanswered
+	if inUse < slots {
+		return float64(inUse) / float64(slots)
+	}
+	work := agent.QueuedWork + agent.RunningWork
+	if !agent.Reported.IsZero() {
+		work -= now.Sub(agent.Reported) * time.Duration(slots)
+	}
+	work = max(work, 0) + agent.UnansweredWork
+	return 1 + work.Seconds()/float64(slots)
+}
+
+// Random chooses any usable agent. It is the baseline for measurements.
+type Random struct {
+	Rand *rand.Rand
+}
+
+// Pick implements zinniasill.Picker.
+func (r *Random) Pick(_ time.Time, agents []*zinniasill.AgentView, usable func(*zinniasill.AgentView) bool) int {
+	if len(agents) == 0 {
+		return -1
+	}
+	for range maxSamples {
+		at := r.Rand.IntN(len(agents))
+		if usable(agents[at]) {
+			return at
+		}
+	}
+	return scan(r.Rand.IntN(len(agents)), agents, usable, -1)
+}
+
+// RoundRobin chooses the agents in turn. It is a baseline for measurements.
+type RoundRobin struct {
+	next int
+}
+
+// Pick implements zinniasill.Picker.
+func (r *RoundRobin) Pick(_ time.Time, agents []*zinniasill.AgentView, usable func(*zinniasill.AgentView) bool) int {
+	if len(agents) == 0 {
+		return -1
+	}
+	at := scan(r.next%len(agents), agents, usable, -1)
+	if at >= 0 {
+		r.next = at + 1
+	}
+	return at
+}
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/message"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var proof = catalog.Profile{Name: "proof", Kind: "render", ExpectedRunTime: 50 * time.Millisecond}
+
+func node(id int) zinniasill.Node {
+	return zinniasill.Node{ID: zinniasill.NodeID(fmt.Sprintf("agent-%04d", id)), Incarnation: 1}
+}
+
+func entry(id int) catalog.NodeEntry {
+	return catalog.NodeEntry{
+		Node:   node(id),
+		Role:   catalog.RoleAgent,
+		Domain: zinniasill.Domain(fmt.Sprintf("domain-%d", id%3)),
+		Slots:  10,
+		Kinds:  []zinniasill.Kind{"render"},
+		State:  catalog.Serving,
+	}
+}
+
+func newCatalog(agents int) *catalog.Catalog {
+	cat := catalog.New()
+	cat.Revision = 1
+	for id := range agents {
+		cat.Nodes[node(id).ID] = entry(id)
+	}
+	return cat
+}
+
+func newViews(agents int) (*Views, *catalog.Catalog) {
+	views := New(Config{Picker: &BetterOfTwo{Rand: rand.New(rand.NewPCG(1, 2))}})
+	cat := newCatalog(agents)
+	views.Update(start, cat)
+	return views, cat
+}
+
+// Guards against offers to agents that must not get new work.
+func TestOnlyEligibleAgentsArePicked(t *testing.T) {
+	cases := map[string]struct {
+		change  func(cat *catalog.Catalog)
+		profile catalog.Profile
+		exclude zinniasill.Node
+		want    bool
+	}{
+		"serving":          {change: func(*catalog.Catalog) {}, profile: proof, want: true},
+		"domain out":       {change: func(c *catalog.Catalog) { c.Domains["domain-0"] = catalog.DomainEntry{State: catalog.DomainOut} }, profile: proof},
+		"endpoint leaving": {change: func(c *catalog.Catalog) { c.Endpoints[node(0).ID] = catalog.EndpointEntry{State: catalog.Leaving} }, profile: proof},
+		"dead":             {change: func(c *catalog.Catalog) { delete(c.Nodes, node(0).ID) }, profile: proof},
+		"other kind":       {change: func(*catalog.Catalog) {}, profile: catalog.Profile{Name: "pull", Kind: "pull"}},
+		"other domain":     {change: func(*catalog.Catalog) {}, profile: catalog.Profile{Name: "far", Kind: "render", Domains: []zinniasill.Domain{"domain-1"}}},
+		"excluded":         {change: func(*catalog.Catalog) {}, profile: proof, exclude: node(0)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			views, cat := newViews(1)
+			next := cat.Clone()
+			next.Revision++
+			c.change(next)
+			views.Update(start, next)
+			_, ok := views.Pick(start, Request{Profile: c.profile, Exclude: func(n zinniasill.Node) bool { return n == c.exclude }})
+			if ok != c.want {
+				t.Fatalf("picked %t, want %t", ok, c.want)
+			}
+		})
+	}
+}
+
+// Guards against one job filling a single agent before its first reply arrives.
+func TestTasksOfOneJobAreSpread(t *testing.T) {
+	views, _ := newViews(10)
+	count := map[zinniasill.Node]int{}
+	for range 100 {
+		picked, _ := views.Pick(start, Request{Profile: proof})
+		views.Offered(picked, 1, proof.ExpectedRunTime)
+		count[picked]++
+	}
+	for id, tasks := range count {
+		if tasks > 13 {
+			t.Fatalf("%s got %d of 100 tasks for 100 slots", id, tasks)
+		}
+	}
+}
+
+// Guards against a burst on the agents of a domain that has just returned.
+func TestSlowStartGrowsTheShare(t *testing.T) {
+	views, cat := newViews(9)
+	out := cat.Clone()
+	out.Revision = 2
+	out.Domains["domain-0"] = catalog.DomainEntry{State: catalog.DomainOut}
+	views.Update(start, out)
+	back := cat.Clone()
+	back.Revision = 3
+	views.Update(start, back)
+	share := func(now time.Time) int {
+		returned := 0
+		for range 3000 {
+			picked, _ := views.Pick(now, Request{Profile: proof})
+			if views.Domain(picked) == "domain-0" {
+				returned++
+			}
+		}
+		return returned
+	}
+	early := share(start.Add(100 * time.Millisecond))
+	middle := share(start.Add(time.Second))
+	full := share(start.Add(SlowStart))
+	if early > 200 || middle < 400 || middle > 850 || full < 900 {
+		t.Fatalf("returned domain got %d, %d, %d of 3000 picks after 0.1, 1, 2 s", early, middle, full)
+	}
+}
+
+// Guards against an endpoint that fails everything taking all tasks, because it
+// is always free, and against ejecting agents for a job that fails everywhere.
+func TestFailingAgentGetsProbesOnly(t *testing.T) {
+	cases := map[string]struct {
+		othersOK bool
+		failing  bool
+	}{
+		"others succeed":       {othersOK: true, failing: true},
+		"job fails everywhere": {othersOK: false, failing: false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			views, _ := newViews(3)
+			for range minOutcomes + 4 {
+				views.Finished(node(1), proof, c.othersOK)
+				views.Finished(node(2), proof, c.othersOK)
+				views.Finished(node(0), proof, false)
+			}
+			picks := 0
+			for range 30 {
+				picked, _ := views.Pick(start, Request{Profile: proof})
+				views.Offered(picked, 1, proof.ExpectedRunTime)
+				if picked == node(0) {
+					picks++
+				}
+			}
+			if (picks <= 1) != c.failing {
+				t.Fatalf("agent got %d of 30 tasks, failing should be %t", picks, c.failing)
+			}
+			views.Finished(node(0), proof, true)
+			if views.agents[node(0).ID].Failing {
+				t.Fatal("still failing after a success")
+			}
+		})
+	}
+}
+
+// Guards against counting work twice once a report includes it.
+func TestTotals(t *testing.T) {
+	views, _ := newViews(2)
+	views.Offered(node(0), 12, 600*time.Millisecond)
+	got := views.Totals(start, proof)
+	if got.Slots != 20 || got.Free != 10 || got.Waiting != 600*time.Millisecond {
+		t.Fatalf("totals %+v", got)
+	}
+	views.Report(start, node(0), message.Load{Slots: 10, Busy: 10, Queued: 2, QueuedWork: 100 * time.Millisecond})
+	views.Answered(node(0), 12, 600*time.Millisecond)
+	got = views.Totals(start.Add(totalsAge), proof)
+	if got.Free != 10 || got.Waiting != 50*time.Millisecond {
+		t.Fatalf("totals after report %+v", got)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	pickers := map[string]zinniasill.Picker{
+		"better-of-two": &BetterOfTwo{Rand: random},
+		"random":        &Random{Rand: random},
+		"round-robin":   &RoundRobin{},
+	}
+	for name, picker := range pickers {
+		b.Run(name, func(b *testing.B) {
+			views := New(Config{Picker: picker})
+			views.Update(start, newCatalog(1400))
+			b.ReportAllocs()
+			for b.Loop() {
+				picked, _ := views.Pick(start, Request{Profile: proof})
+				views.Offered(picked, 1, proof.ExpectedRunTime)
+				views.Answered(picked, 1, proof.ExpectedRunTime)
+			}
+		})
+	}
+}
--- a/interface.go
+++ b/interface.go
@@ -48,3 +48,35 @@
 	// a counter without the label.
 	Inc(name string, reason Reason)
 }
+
+// AgentView is what an entry knows of one agent when it chooses where to offer a
+// task.
+type AgentView struct {
+	Node   Node
+	Domain Domain
+	Slots  int
+	// Busy, Queued, QueuedWork and RunningWork are the agent's last report.
+	Busy        int
+	Queued      int
+	QueuedWork  time.Duration
+	RunningWork time.Duration
+	// Reported is when the last report arrived, zero if none has.
+	Reported time.Time
+	// Unanswered counts the entry's own offers that the report can't include yet,
+	// and UnansweredWork is the sum of their expected run times.
+	Unanswered     int
+	UnansweredWork time.Duration
+	// Joined is when the agent became eligible. Its share of the work grows from
+	// then on.
+	Joined time.Time
+	// Failing is set while the agent's endpoint fails nearly everything that
+	// succeeds elsewhere. Such an agent gets one task at a time.
+	Failing bool
+}
+
+// Picker chooses an agent for one task.
+type Picker interface {
+	// Pick returns the index of the chosen agent, or -1 when usable is false for
+	// every agent. It must not retain agents.
+	Pick(now time.Time, agents []*AgentView, usable func(agent *AgentView) bool) int
+}
