Add the job coordinator

Cause: entries need a state machine that claims the key of a submission, places its tasks and answers once for the whole job.

Change: package job with lookups in all retained epochs, claims of later terms, attach, fences, offers, grants, withdrawals, tombstones and kept answers.

--- /dev/null
+++ b/core/job/term.go
@@ -0,0 +1,169 @@
+package job
+
+import (
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/claim"
+	"zinniasill/core/message"
+)
+
+// adopt handles the value that was chosen for a term of the job.
+func (c *Coordinator) adopt(now time.Time, r *record, epoch zinniasill.Epoch, term zinniasill.Term, value message.Claim) {
+	r.lookups = nil
+	r.proposer = nil
+	r.epoch = epoch
+	r.term = term
+	if value.Digest != r.digest {
+		c.settle(now, r, keyReused())
+		return
+	}
+	r.confirmed = true
+	c.replayRivals(now, r)
+	switch {
+	case value.Refused != "":
+		r.owned = true
+		c.settle(now, r, refusedForGood(value.Refused))
+	case value.Tombstone:
+		r.priors = nil
+		c.claimTerm(now, r, term+1)
+	case value.Owner == c.cfg.Self && term > r.ended:
+		c.own(now, r, value)
+	default:
+		r.priors = append(r.priors, value)
+		c.follow(now, r, value.Owner)
+	}
+}
+
+// own starts the work of a chosen own claim.
+func (c *Coordinator) own(now time.Time, r *record, value message.Claim) {
+	r.claim = value
+	r.owned = true
+	r.closing = ""
+	if len(r.priors) > 0 {
+		c.cfg.Counters.Inc(CounterTakeover, "")
+		c.fence(now, r)
+		return
+	}
+	c.startPlacing(now, r)
+}
+
+// claimTerm claims a term after the first. It waits while the lease is invalid.
+func (c *Coordinator) claimTerm(now time.Time, r *record, term zinniasill.Term) {
+	c.move(r, eventClaim)
+	r.term = term - 1
+	r.proposer = nil
+	r.extending = false
+	r.parked = !c.cfg.Lease.Valid(now)
+	c.timers.push(r, now.Add(claimPoll))
+	if r.parked {
+		return
+	}
+	c.plan(now, r)
+	c.proposeTerm(now, r, claim.Config{Value: r.claim})
+}
+
+// readTerm asks whether another entry has claimed a term.
+func (c *Coordinator) readTerm(now time.Time, r *record, term zinniasill.Term) {
+	r.term = term - 1
+	c.timers.push(r, now.Add(claimPoll))
+	c.proposeTerm(now, r, claim.Config{Read: true})
+}
+
+// proposeTerm starts a proposal for the term after the last decided one.
+func (c *Coordinator) proposeTerm(now time.Time, r *record, cfg claim.Config) {
+	epoch, ok := c.epoch(r.epoch)
+	if !ok {
+		c.noRegister(now, r, claim.StatusExpired)
+		return
+	}
+	cfg.Register = message.Register{Key: r.key, Term: r.term + 1, Epoch: r.epoch}
+	r.proposer = c.propose(now, cfg, c.group(r.key, epoch))
+	c.checkProposer(now, r)
+}
+
+func (c *Coordinator) epoch(number zinniasill.Epoch) (catalog.EpochEntry, bool) {
+	for _, epoch := range c.cfg.Lease.Catalog().Epochs {
+		if epoch.Number == number {
+			return epoch, true
+		}
+	}
+	return catalog.EpochEntry{}, false
+}
+
+// checkProposer handles the result of a proposal for a later term.
+func (c *Coordinator) checkProposer(now time.Time, r *record) {
+	if r.proposer == nil {
+		return
+	}
+	value, _ := r.proposer.Result()
+	switch r.proposer.Status() {
+	case claim.StatusPending:
+	case claim.StatusLost, claim.StatusExpired:
+		c.noRegister(now, r, r.proposer.Status())
+	case claim.StatusEmpty:
+		r.proposer = nil
+		c.settle(now, r, c.notRun(r, r.refusal, ""))
+	case claim.StatusSeen:
+		c.join(now, r)
+		c.claimTerm(now, r, r.term+1)
+	case claim.StatusChosen:
+		c.chosen(now, r, value)
+	}
+}
+
+// noRegister handles a job whose later terms can't be decided any more. An owner
+// then goes on with its tasks and candidates, but can't prove that nothing ran.
+func (c *Coordinator) noRegister(now time.Time, r *record, status claim.Status) {
+	r.proposer = nil
+	switch {
+	case r.state == statePlacing || r.state == stateRunning:
+		r.extending = false
+		r.registerGone = true
+	case r.state == stateClosing:
+		c.settle(now, r, c.failed(r, r.closing, zinniasill.RanUnknown, r.closeMessage))
+	case status == claim.StatusLost:
+		c.settle(now, r, recordLost(r.profile))
+	default:
+		c.settle(now, r, keyExpired(r.profile))
+	}
+}
+
+// chosen handles the value that was chosen for a later term. While the job is
+// owned, it is an own value or that of an entry that took the job over.
+func (c *Coordinator) chosen(now time.Time, r *record, value message.Claim) {
+	term := r.term + 1
+	own := value.Owner == c.cfg.Self
+	r.proposer = nil
+	switch {
+	case r.state == stateClaiming:
+		c.adopt(now, r, r.epoch, term, value)
+	case own && value.Tombstone:
+		r.term = term
+		c.settleClosed(now, r, value.Refused)
+	case own:
+		r.term = term
+		r.claim = value
+		r.extending = false
+		c.progress(now, r)
+	default:
+		c.supersede(now, r)
+		c.adopt(now, r, r.epoch, term, value)
+	}
+}
+
+// supersede ends the own term because another entry has taken the job over.
+func (c *Coordinator) supersede(now time.Time, r *record) {
+	c.cfg.Counters.Inc(CounterRefused, zinniasill.ReasonSuperseded)
+	r.ended = r.term
+	r.priors = append(r.priors, r.claim)
+	r.extending = false
+	c.releaseViews(r)
+	r.resetTasks()
+	if r.state == stateClosing && r.closing != zinniasill.ReasonCancelled {
+		c.extendDeadline(now, r)
+	}
+	r.closing = ""
+	c.move(r, eventClaim)
+}
--- /dev/null
+++ b/core/job/world_test.go
@@ -0,0 +1,270 @@
+package job
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/message"
+	"zinniasill/core/placement"
+)
+
+var worldStart = time.Unix(1_000_000, 0)
+
+// Catalog implements Lease.
+func (l *fixedLease) Catalog() *catalog.Catalog { return l.world.versions[l.version] }
+
+// worldEntry is one entry with its coordinator.
+type worldEntry struct {
+	*Coordinator
+	lease *fixedLease
+	gone  bool
+}
+
+// request is one submission that waits for its answer.
+type request struct {
+	id    RequestID
+	entry *worldEntry
+	key   zinniasill.Key
+	tasks int
+}
+
+// world is a system of coordinators, claim acceptors and fake agents with a
+// network that a test controls. It checks the guarantees at every start and
+// every answer.
+type world struct {
+	now      time.Time
+	versions []*catalog.Catalog
+	entries  []*worldEntry
+	agents   []*fakeAgent
+	flight   []message.Envelope
+	open     []request
+	answers  []message.Answer
+	starts   map[string]int
+	stamps   map[zinniasill.Key]zinniasill.Epoch
+	// closed are keys that were answered not-run while no other request for them
+	// was open. Nothing of them may start before the next submission.
+	closed   map[zinniasill.Key]bool
+	nextID   RequestID
+	failures []string
+	counts   counts
+}
+
+func entryNode(i int) zinniasill.Node {
+	return zinniasill.Node{ID: zinniasill.NodeID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
+}
+
+func agentNode(i int) zinniasill.Node {
+	return zinniasill.Node{ID: zinniasill.NodeID(fmt.Sprintf("agent-%03d", i)), Incarnation: 1}
+}
+
+var testProfiles = []catalog.Profile{
+	{Name: "proof", Kind: "render", AnswerWithin: 3 * time.Second, ExpectedRunTime: 50 * time.Millisecond, Repeat: catalog.RepeatResubmit},
+	{Name: "pull", Kind: "render", AnswerWithin: 3 * time.Second, ExpectedRunTime: 50 * time.Millisecond, Repeat: catalog.RepeatNever},
+}
+
+func newWorld(entries, agents, slots int, seed uint64) *world {
+	w := &world{
+		now: worldStart, starts: map[string]int{}, closed: map[zinniasill.Key]bool{}, counts: counts{},
+		stamps: map[zinniasill.Key]zinniasill.Epoch{},
+	}
+	cat := catalog.New()
+	cat.Revision = 1
+	for _, profile := range testProfiles {
+		cat.Profiles[profile.Name] = profile
+	}
+	for i := range agents {
+		entry := catalog.NodeEntry{
+			Node: agentNode(i), Role: catalog.RoleAgent, Domain: zinniasill.Domain(fmt.Sprintf("domain-%d", i%3)),
+			Slots: slots, Kinds: []zinniasill.Kind{"render"}, State: catalog.Serving,
+		}
+		cat.Nodes[entry.Node.ID] = entry
+		agent := newFakeAgent(entry.Node, slots)
+		agent.started = w.started
+		agent.send = w.post
+		w.agents = append(w.agents, agent)
+	}
+	w.versions = []*catalog.Catalog{cat}
+	for i := range entries {
+		cat.Nodes[entryNode(i).ID] = catalog.NodeEntry{Node: entryNode(i), Role: catalog.RoleEntry, State: catalog.Serving}
+		lease := &fixedLease{valid: true, world: w}
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		w.entries = append(w.entries, &worldEntry{lease: lease, Coordinator: New(Config{
+			Self: entryNode(i), Lease: lease, Picker: &placement.BetterOfTwo{Rand: random}, Rand: random, Counters: w.counts,
+		})})
+	}
+	w.newEpoch(cat)
+	return w
+}
+
+// newEpoch adds an epoch of the live agents to a catalog that is not yet in use.
+func (w *world) newEpoch(cat *catalog.Catalog) {
+	epoch := catalog.EpochEntry{Number: cat.CurrentEpoch() + 1}
+	for _, agent := range w.agents {
+		entry, ok := cat.Nodes[agent.node.ID]
+		if ok {
+			epoch.Members = append(epoch.Members, catalog.EpochMember{Node: entry.Node, Domain: entry.Domain})
+		}
+	}
+	cat.Epochs = append(cat.Epochs[:len(cat.Epochs):len(cat.Epochs)], epoch)
+}
+
+// change makes a new version of the configuration.
+func (w *world) change(edit func(cat *catalog.Catalog)) {
+	cat := w.versions[len(w.versions)-1].Clone()
+	cat.Revision++
+	edit(cat)
+	w.versions = append(w.versions, cat)
+}
+
+// spread brings all entries up to date.
+func (w *world) spread() {
+	for _, entry := range w.entries {
+		entry.lease.version = len(w.versions) - 1
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.failures = append(w.failures, fmt.Sprintf(format, args...))
+}
+
+func (w *world) post(from, to zinniasill.Node, body any) {
+	w.flight = append(w.flight, message.Envelope{From: from, To: to, Body: body})
+}
+
+func (w *world) started(key zinniasill.Key, index zinniasill.TaskIndex) {
+	w.starts[output(key, index)]++
+	if n := w.starts[output(key, index)]; n > 1 {
+		w.fail("task %d of %s started %d times", index, key, n)
+	}
+	if w.closed[key] {
+		w.fail("task %d of %s started after a not-run answer", index, key)
+	}
+}
+
+// submit submits a job with the stamp of its first submission.
+func (w *world) submit(entry *worldEntry, key string, profile zinniasill.ProfileName, tasks int) RequestID {
+	k := zinniasill.Key{Team: "team", Client: key}
+	if w.stamps[k] == 0 {
+		w.stamps[k] = entry.lease.Catalog().CurrentEpoch()
+	}
+	sub := message.Submission{Key: k, Stamp: w.stamps[k], Profile: profile, Digest: sha256.Sum256([]byte(key))}
+	for i := range tasks {
+		sub.Payloads = append(sub.Payloads, []byte(output(k, zinniasill.TaskIndex(i))))
+	}
+	w.nextID++
+	delete(w.closed, k)
+	w.open = append(w.open, request{id: w.nextID, entry: entry, key: k, tasks: tasks})
+	entry.Submit(w.now, w.nextID, sub)
+	w.collect(entry)
+	return w.nextID
+}
+
+// collect takes the outputs of an entry.
+func (w *world) collect(entry *worldEntry) {
+	w.flight = append(w.flight, entry.Outbox()...)
+	for _, reply := range entry.Replies() {
+		at := slices.IndexFunc(w.open, func(r request) bool { return r.id == reply.Request })
+		if at < 0 {
+			w.fail("request %d answered twice", reply.Request)
+			continue
+		}
+		req := w.open[at]
+		w.open = slices.Delete(w.open, at, at+1)
+		if !entry.gone {
+			w.answered(req, reply.Answer)
+		}
+	}
+}
+
+// answered checks an answer that reaches its caller.
+func (w *world) answered(req request, answer message.Answer) {
+	w.answers = append(w.answers, answer)
+	if answer.Complete {
+		w.checkOutputs(req, answer)
+		return
+	}
+	if answer.Code == "" || answer.Ran == "" || answer.Retry == "" || len(answer.Outputs) > 0 {
+		w.fail("%s: malformed failure %+v", req.key, answer)
+	}
+	if answer.Ran != zinniasill.NotRun || answer.Code == zinniasill.ReasonKeyReused {
+		return
+	}
+	for i := range req.tasks {
+		if w.starts[output(req.key, zinniasill.TaskIndex(i))] > 0 {
+			w.fail("%s: %s says not-run, task %d has started", req.key, answer.Code, i)
+		}
+	}
+	for _, other := range w.entries {
+		// An entry that has taken over a job may start it after the answer.
+		if r := other.jobs[req.key]; other != req.entry && !other.gone && r != nil && r.owns() {
+			w.fail("%s: %s says not-run, %s owns the job", req.key, answer.Code, other.cfg.Self)
+		}
+	}
+	w.closed[req.key] = !slices.ContainsFunc(w.open, func(r request) bool { return r.key == req.key })
+}
+
+func (w *world) checkOutputs(req request, answer message.Answer) {
+	if len(answer.Outputs) != req.tasks {
+		w.fail("%s: %d outputs for %d tasks", req.key, len(answer.Outputs), req.tasks)
+		return
+	}
+	for i, got := range answer.Outputs {
+		if want := output(req.key, zinniasill.TaskIndex(i)); string(got) != want {
+			w.fail("%s: output %d is %q", req.key, i, got)
+		}
+	}
+}
+
+// deliver hands over the message at a position of the network.
+func (w *world) deliver(at int) {
+	env := w.flight[at]
+	w.flight = slices.Delete(w.flight, at, at+1)
+	w.handOver(env)
+}
+
+func (w *world) handOver(env message.Envelope) {
+	for _, agent := range w.agents {
+		if agent.node == env.To && !agent.dead {
+			agent.receive(env.From, env.Body)
+			return
+		}
+	}
+	for _, entry := range w.entries {
+		if entry.cfg.Self == env.To && !entry.gone {
+			entry.Receive(w.now, env)
+			w.collect(entry)
+			return
+		}
+	}
+}
+
+// advance lets time pass.
+func (w *world) advance(by time.Duration) {
+	w.now = w.now.Add(by)
+	for _, entry := range w.entries {
+		if !entry.gone {
+			entry.Tick(w.now)
+			w.collect(entry)
+		}
+	}
+}
+
+// settleAll delivers everything in order and lets agents finish, for a time.
+func (w *world) settleAll(length time.Duration) {
+	for end := w.now.Add(length); w.now.Before(end); {
+		for len(w.flight) > 0 {
+			w.deliver(0)
+		}
+		for _, agent := range w.agents {
+			if !agent.dead {
+				agent.finish()
+			}
+		}
+		w.advance(10 * time.Millisecond)
+	}
+}
--- a/core/placement/failing.go
+++ b/core/placement/failing.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"zinniasill"
 	"zinniasill/core/catalog"
 )
@@ -17,6 +19,9 @@
 	healthyPart = 0.5
 	// windowOutcomes bounds the memory: counts are halved when they reach it.
 	windowOutcomes = 64
+	// probeEvery is the least time between two probes of a failing agent. Each probe
+	// that fails costs a caller its job.
+	probeEvery = 500 * time.Millisecond
 )
 
 // record counts recent outcomes.
@@ -50,7 +55,7 @@
 
 // Finished counts the outcome of a task. An agent is failing when it fails nearly
 // all tasks of a profile that others complete; one success ends that.
-func (v *Views) Finished(node zinniasill.Node, profile catalog.Profile, ok bool) {
+func (v *Views) Finished(now time.Time, node zinniasill.Node, profile catalog.Profile, ok bool) {
 	a := v.agent(node)
 	if a == nil {
 		return
@@ -72,6 +77,7 @@
 		return
 	}
 	a.Failing = a.Failing || v.othersSucceed(node, profile)
+	a.probeAt = now.Add(probeEvery)
 }
 
 // Returned ends a probe whose task did not start.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -135,22 +135,27 @@
 		t.Run(name, func(t *testing.T) {
 			views, _ := newViews(3)
 			for range minOutcomes + 4 {
-				views.Finished(node(1), proof, c.othersOK)
-				views.Finished(node(2), proof, c.othersOK)
-				views.Finished(node(0), proof, false)
+				views.Finished(start, node(1), proof, c.othersOK)
+				views.Finished(start, node(2), proof, c.othersOK)
+				views.Finished(start, node(0), proof, false)
 			}
 			picks := 0
 			for range 30 {
-				picked, _ := views.Pick(start, Request{Profile: proof})
+				picked, _ := views.Pick(start.Add(probeEvery), Request{Profile: proof})
 				views.Offered(picked, 1, proof.ExpectedRunTime)
+				views.Placed(picked)
+				views.Answered(picked, 1, proof.ExpectedRunTime)
 				if picked == node(0) {
 					picks++
 				}
 			}
-			if (picks <= 1) != c.failing {
+			if (picks == 1) != c.failing {
 				t.Fatalf("agent got %d of 30 tasks, failing should be %t", picks, c.failing)
 			}
-			views.Finished(node(0), proof, true)
+			if views.Takes(start, node(0)) == c.failing {
+				t.Fatal("the next probe does not wait")
+			}
+			views.Finished(start, node(0), proof, true)
 			if views.agents[node(0).ID].Failing {
 				t.Fatal("still failing after a success")
 			}
--- a/core/placement/views.go
+++ b/core/placement/views.go
@@ -62,8 +62,10 @@
 	entry    catalog.NodeEntry
 	serving  bool
 	outcomes map[zinniasill.ProfileName]*record
-	// probing counts the tasks placed while the agent was failing.
+	// probing counts the tasks placed while the agent was failing, and probeAt is
+	// the earliest time of the next one.
 	probing int
+	probeAt time.Time
 }
 
 // group is the list of eligible agents of one profile at one revision.
@@ -152,9 +154,24 @@
 	}
 	a.Unanswered += tasks
 	a.UnansweredWork += work
-	if a.Failing {
-		a.probing += tasks
+}
+
+// Placed counts a task that was offered to an agent as a probe if the agent is
+// failing.
+func (v *Views) Placed(node zinniasill.Node) {
+	if a := v.agent(node); a != nil && a.Failing {
+		a.probing++
+	}
+}
+
+// Takes reports whether an agent may be offered a task: it is not failing, or it
+// is due for a probe.
+func (v *Views) Takes(now time.Time, node zinniasill.Node) bool {
+	a := v.agent(node)
+	if a == nil {
+		return false
 	}
+	return !a.Failing || a.probing == 0 && !now.Before(a.probeAt)
 }
 
 // Answered ends the count of tasks that were counted with Offered.
@@ -176,7 +193,7 @@
 		agents = v.among(g, request.Among)
 	}
 	usable := func(view *zinniasill.AgentView) bool {
-		if view.Failing && v.agents[view.Node.ID].probing > 0 {
+		if view.Failing && (view.Unanswered > 0 || !v.Takes(now, view.Node)) {
 			return false
 		}
 		return request.Exclude == nil || !request.Exclude(view.Node)
