Add the callers' interface, the client, settings, metrics and the entry and control roles

Cause: the state machines need their HTTP interfaces, settings and loops before they can run as processes.

Change: io/caller and client carry submissions with one key and one epoch stamp for all attempts; io/settings reports all findings at once; io/node runs the entry and control machines, with the lease renewed on a goroutine of its own. A busy refusal says unknown rather than not-run, because an earlier submission of the key may have run.

--- /dev/null
+++ b/client/request.go
@@ -0,0 +1,137 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinniasill"
+)
+
+const (
+	headerKey   = "Idempotency-Key"
+	headerEpoch = "Job-Epoch"
+	// maxAnswer bounds an answer in bytes.
+	maxAnswer = 256 << 20
+)
+
+type taskBody struct {
+	Payload []byte `json:"payload"`
+}
+
+type jobBody struct {
+	Profile zinniasill.ProfileName `json:"profile"`
+	Team    zinniasill.Team        `json:"team"`
+	Tasks   []taskBody             `json:"tasks"`
+	Wait    string                 `json:"wait"`
+}
+
+// answerBody holds the fields of all answers of an entry.
+type answerBody struct {
+	Key          string            `json:"key"`
+	State        string            `json:"state"`
+	Outputs      [][]byte          `json:"outputs"`
+	Code         zinniasill.Reason `json:"code"`
+	Ran          zinniasill.Ran    `json:"ran"`
+	Retry        zinniasill.Retry  `json:"retry"`
+	RetryAfterMS int64             `json:"retry-after-ms"`
+	Message      string            `json:"message"`
+	Epoch        zinniasill.Epoch  `json:"epoch"`
+}
+
+// reply is what one attempt learned. Both fields are nil while the job is in
+// progress.
+type reply struct {
+	answer  *Answer
+	refusal *RefusalError
+}
+
+func encodeJob(cfg Config, job Job) ([]byte, error) {
+	body := jobBody{Profile: job.Profile, Team: cfg.Team, Wait: cfg.AttemptWait.String()}
+	for _, payload := range job.Tasks {
+		body.Tasks = append(body.Tasks, taskBody{Payload: payload})
+	}
+	encoded, err := json.Marshal(body)
+	return encoded, eris.Wrapf(err, "encode job %s", job.Key)
+}
+
+// post makes one attempt.
+func (c *Client) post(ctx context.Context, entry string, job Job, body []byte) (reply, error) {
+	request, err := http.NewRequest(http.MethodPost, entry+"/v1/jobs", bytes.NewReader(body))
+	if err != nil {
+		return reply{}, eris.Wrapf(err, "submit job %s to %s", job.Key, entry)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(headerKey, job.Key)
+	request.Header.Set(headerEpoch, strconv.FormatUint(uint64(job.Epoch), 10))
+	status, answer, err := c.do(ctx, request, c.cfg.AttemptWait+c.cfg.Silence)
+	if err != nil {
+		return reply{}, eris.Wrapf(err, "submit job %s to %s", job.Key, entry)
+	}
+	if answer.Key != "" && answer.Key != job.Key {
+		return reply{}, eris.Errorf("submit job %s to %s: got the answer of job %s", job.Key, entry, answer.Key)
+	}
+	switch {
+	case status == http.StatusAccepted:
+		return reply{}, nil
+	case status == http.StatusOK && answer.Key == job.Key && len(answer.Outputs) == len(job.Tasks):
+		return reply{answer: &Answer{Key: answer.Key, Outputs: answer.Outputs}}, nil
+	case status == http.StatusOK:
+		return reply{}, eris.Errorf("submit job %s to %s: %d outputs for %d tasks", job.Key, entry, len(answer.Outputs), len(job.Tasks))
+	case answer.Code == "":
+		return reply{}, eris.Errorf("submit job %s to %s: status %d without a code", job.Key, entry, status)
+	default:
+		return reply{refusal: &RefusalError{
+			Key: job.Key, Retry: answer.Retry,
+			RetryAfter:   time.Duration(answer.RetryAfterMS) * time.Millisecond,
+			RefusalError: zinniasill.RefusalError{Code: answer.Code, Ran: answer.Ran, Message: answer.Message},
+		}}, nil
+	}
+}
+
+func (c *Client) askEpoch(ctx context.Context, entry string) (zinniasill.Epoch, error) {
+	request, err := http.NewRequest(http.MethodGet, entry+"/v1/epoch", nil)
+	if err != nil {
+		return 0, eris.Wrapf(err, "ask %s for the epoch", entry)
+	}
+	_, answer, err := c.do(ctx, request, c.cfg.Silence)
+	return answer.Epoch, eris.Wrapf(err, "ask %s for the epoch", entry)
+}
+
+// do sends a request and reads its whole answer within a time. A connection that
+// went silent is closed by the end of the context and not used again.
+func (c *Client) do(ctx context.Context, request *http.Request, within time.Duration) (int, answerBody, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	response, err := c.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return 0, answerBody{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.learnEpoch(response.Header.Get(headerEpoch))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return 0, answerBody{}, eris.Wrap(err, "read the answer")
+	}
+	var body answerBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return 0, answerBody{}, eris.Wrapf(err, "decode the answer with status %d", response.StatusCode)
+	}
+	return response.StatusCode, body, nil
+}
+
+func (c *Client) learnEpoch(text string) {
+	epoch, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.epoch = max(c.epoch, zinniasill.Epoch(epoch))
+}
--- a/core/control/server.go
+++ b/core/control/server.go
@@ -89,6 +89,11 @@
 	s.duties.Lead(now, s.leading)
 }
 
+// Join tells the server which cluster the replica belongs to, once it is formed.
+func (s *Server) Join(cluster zinniasill.ClusterID) {
+	s.cfg.Cluster = cluster
+}
+
 // Receive handles a message. Messages of other versions and clusters are ignored;
 // a node that does not know its cluster yet sends none.
 func (s *Server) Receive(now time.Time, env message.Envelope) {
--- /dev/null
+++ b/io/node/control.go
@@ -0,0 +1,380 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/consensus"
+	"zinniasill/core/control"
+	"zinniasill/core/message"
+	"zinniasill/io/daemon"
+	"zinniasill/io/disk"
+	"zinniasill/io/operator"
+)
+
+// compactEvery is the number of applied entries between two snapshots. It bounds
+// the log that a restart reads.
+const compactEvery = 4096
+
+// transferTimeout bounds the wait for another replica to take over the
+// leadership of one that stops.
+const transferTimeout = 2 * time.Second
+
+// ControlConfig configures a Control.
+type ControlConfig struct {
+	Name zinniasill.NodeID
+	// Peers are the replicas named in the settings, this one included.
+	Peers      []consensus.Member
+	Folder     string
+	NewCluster bool
+	Sender     daemon.Sender
+	Clock      zinniasill.Clock
+	Counters   zinniasill.Counters
+	Log        logrus.FieldLogger
+	Rand       *rand.Rand
+	Duties     control.DutyConfig
+	Lease      time.Duration
+}
+
+// Control is the role of a control replica. Use NewControl.
+type Control struct {
+	cfg     ControlConfig
+	self    zinniasill.Node
+	folder  *disk.Folder
+	replica *consensus.Replica
+	machine *control.Machine
+	server  *control.Server
+	loop    *daemon.Loop
+	status  atomic.Pointer[consensus.Status]
+
+	proposal  consensus.ProposalID
+	compacted consensus.Index
+	failed    chan error
+	fault     error
+}
+
+// NewControl opens the data folder and returns a replica that has not started.
+func NewControl(cfg ControlConfig) (*Control, error) {
+	folder, found, err := disk.Open(disk.Config{Path: cfg.Folder})
+	if err != nil {
+		return nil, eris.Wrap(err, "open the data folder of the control replica")
+	}
+	for _, torn := range found.Torn {
+		cfg.Log.WithField("finding", torn.String()).Warn("dropped a write that was not finished")
+	}
+	c := &Control{cfg: cfg, folder: folder, machine: control.New(), failed: make(chan error, 1)}
+	c.self = zinniasill.Node{ID: cfg.Name, Incarnation: found.Instance}
+	c.replica, err = consensus.New(consensus.Config{
+		Self:       c.member(found.Instance),
+		Peers:      cfg.Peers,
+		NewCluster: cfg.NewCluster,
+		Rand:       cfg.Rand,
+	}, found.Recovered)
+	if err != nil {
+		folder.Close()
+		return nil, eris.Wrap(err, "recover the control replica")
+	}
+	status := c.replica.Status()
+	c.status.Store(&status)
+	c.server = control.NewServer(control.ServerConfig{
+		Self: c.self, Cluster: status.Cluster, Machine: c.machine,
+		LeaseLength: cfg.Lease, Duties: cfg.Duties, Counters: cfg.Counters,
+	})
+	c.loop = daemon.New(daemon.Config{
+		Machine: c, Sender: cfg.Sender, Clock: cfg.Clock, After: c.process,
+		Dropped: func() { cfg.Counters.Inc("mailbox_dropped", "") },
+	})
+	return c, nil
+}
+
+func (c *Control) member(instance zinniasill.Incarnation) consensus.Member {
+	self := consensus.Member{Name: c.cfg.Name, Instance: instance}
+	for _, peer := range c.cfg.Peers {
+		if peer.Name == self.Name {
+			self.Address = peer.Address
+		}
+	}
+	return self
+}
+
+// Node returns the replica's identity.
+func (c *Control) Node() zinniasill.Node {
+	return c.self
+}
+
+// Status returns the replica's latest status.
+func (c *Control) Status() consensus.Status {
+	return *c.status.Load()
+}
+
+// Handler returns the HTTP interface for operators.
+func (c *Control) Handler() http.Handler {
+	return operator.New(operator.Config{
+		Configuration: operator.Replica{Loop: c.loop, Server: c.server},
+		Membership:    c,
+	})
+}
+
+// Start starts the replica's goroutine. The returned channel delivers the fault
+// that stopped the replica, if any, and is closed after ctx has ended.
+func (c *Control) Start(ctx context.Context) <-chan error {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := c.loop.Start(ctx)
+	done := make(chan error, 1)
+	go func() {
+		defer close(done)
+		defer c.folder.Close()
+		defer func() { <-ended }()
+		defer cancel()
+		select {
+		case err := <-c.failed:
+			done <- err
+		case <-ended:
+		}
+	}()
+	return done
+}
+
+// Deliver hands a message to the replica.
+func (c *Control) Deliver(env message.Envelope) {
+	c.loop.Deliver(env)
+}
+
+// Receive implements daemon.Machine.
+func (c *Control) Receive(now time.Time, env message.Envelope) {
+	switch env.Body.(type) {
+	case message.Renew, control.Seen:
+		c.server.Receive(now, env)
+	default:
+		c.replica.Receive(now, env)
+	}
+}
+
+// Tick implements daemon.Machine.
+func (c *Control) Tick(now time.Time) {
+	c.replica.Tick(now)
+	c.server.Tick(now)
+}
+
+// Outbox implements daemon.Machine.
+func (c *Control) Outbox() []message.Envelope {
+	if c.fault != nil {
+		return nil
+	}
+	return append(c.replica.Outbox(), c.server.Outbox()...)
+}
+
+// process carries out everything that the replica and the server ask for.
+func (c *Control) process(now time.Time) {
+	for c.fault == nil {
+		worked := c.forward(now)
+		ready := c.replica.Ready()
+		if ready.Empty() && !worked {
+			break
+		}
+		c.carryOut(now, ready)
+	}
+	c.compact()
+}
+
+// forward hands the server's proposals and reads to the log.
+func (c *Control) forward(now time.Time) bool {
+	proposals := c.server.Proposals()
+	for _, data := range proposals {
+		c.proposal++
+		c.replica.Propose(now, c.proposal, data)
+	}
+	reads := c.server.Reads(now)
+	for _, id := range reads {
+		c.replica.ReadIndex(now, consensus.ReadID(id))
+	}
+	return len(proposals)+len(reads) > 0
+}
+
+func (c *Control) carryOut(now time.Time, ready consensus.Ready) {
+	if ready.Writes() {
+		// Entries leave for the followers while they are written here.
+		for _, env := range c.replica.Outbox() {
+			c.cfg.Sender.Send(env)
+		}
+		if err := c.folder.Save(ready); err != nil {
+			c.fail(eris.Wrap(err, "write to the data folder"))
+			return
+		}
+		c.replica.Persisted()
+	}
+	if ready.Status != nil {
+		c.follow(now, *ready.Status)
+	}
+	if ready.Restore != nil {
+		c.compacted = ready.Restore.Index
+		if err := c.server.Restore(ready.Restore.Data); err != nil {
+			c.fail(eris.Wrapf(err, "restore the snapshot at index %d", ready.Restore.Index))
+			return
+		}
+	}
+	c.apply(ready.Committed)
+	for _, read := range ready.Reads {
+		if read.OK {
+			c.server.ReadConfirmed(uint64(read.ID), uint64(read.Index))
+		}
+	}
+}
+
+func (c *Control) apply(entries []consensus.Entry) {
+	for _, entry := range entries {
+		if entry.Kind != consensus.KindData {
+			c.server.Advance(uint64(entry.Index))
+			continue
+		}
+		if result := c.server.Apply(uint64(entry.Index), entry.Data); result.Err != nil {
+			c.fail(eris.Wrapf(result.Err, "apply entry %d", entry.Index))
+			return
+		}
+	}
+}
+
+// follow takes over a changed status.
+func (c *Control) follow(now time.Time, status consensus.Status) {
+	before := c.Status()
+	c.status.Store(&status)
+	if status.Cluster != before.Cluster {
+		c.server.Join(status.Cluster)
+	}
+	c.server.Lead(now, status.Leader)
+	if status.Role != before.Role || status.Leader != before.Leader || status.Phase != before.Phase {
+		c.cfg.Log.WithFields(logrus.Fields{
+			"role": status.Role.String(), "leader": status.Leader.ID, "term": uint64(status.Term),
+			"phase": string(status.Phase), "cluster": status.Cluster,
+		}).Info("control replica changed")
+	}
+	if status.Obstacle != "" && status.Obstacle != before.Obstacle {
+		c.cfg.Log.WithField("obstacle", status.Obstacle).Warn("control replica cannot form or join a cluster")
+	}
+	if status.Fault != nil {
+		c.fail(eris.Wrap(status.Fault, "replicated log"))
+	}
+}
+
+// fail stops the replica. The others go on.
+func (c *Control) fail(err error) {
+	if c.fault != nil {
+		return
+	}
+	c.fault = err
+	c.failed <- err
+}
+
+func (c *Control) compact() {
+	applied := consensus.Index(c.machine.Applied())
+	if c.fault != nil || applied < c.compacted+compactEvery {
+		return
+	}
+	if c.replica.Compact(applied, c.machine.Snapshot()) {
+		c.compacted = applied
+	}
+}
+
+// Ready returns an error while the replica knows no leader.
+func (c *Control) Ready() error {
+	status := c.Status()
+	if status.Leader.ID == "" {
+		return eris.Errorf("no leader is known (%s)", status.Phase)
+	}
+	return nil
+}
+
+// Stop hands the leadership to another replica, if this one leads.
+func (c *Control) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	err := c.loop.Do(ctx, c.transfer)
+	if err != nil {
+		return err
+	}
+	err = waitFor(ctx, c.cfg.Clock, c.loop, func() bool {
+		status := c.replica.Status()
+		return status.Role != consensus.Leader || len(status.Membership.Voters) < 2
+	})
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The others elect a leader by themselves.
+		return nil
+	}
+	return err
+}
+
+func (c *Control) transfer(now time.Time) {
+	for _, voter := range c.replica.Status().Membership.Voters {
+		if voter.Name != c.cfg.Name && c.replica.Transfer(now, voter.Name) {
+			return
+		}
+	}
+}
+
+// Members implements operator.Membership.
+func (c *Control) Members(ctx context.Context) ([]operator.Member, error) {
+	// The read makes sure that the membership is not older than the call.
+	if _, err := (operator.Replica{Loop: c.loop, Server: c.server}).Catalog(ctx); err != nil {
+		return nil, err
+	}
+	status := c.Status()
+	var members []operator.Member
+	add := func(list []consensus.Member, voter bool) {
+		for _, m := range list {
+			members = append(members, operator.Member{
+				Name: string(m.Name), Instance: strconv.FormatUint(uint64(m.Instance), 16),
+				Address: m.Address, Voter: voter, Leader: m.Node() == status.Leader,
+			})
+		}
+	}
+	add(status.Membership.Voters, true)
+	add(status.Membership.Learners, false)
+	return members, nil
+}
+
+// ChangeMember implements operator.Membership. Only the leader can carry it out.
+func (c *Control) ChangeMember(ctx context.Context, change operator.MemberChange) error {
+	var result error
+	name := zinniasill.NodeID(change.Name)
+	err := c.loop.Do(ctx, func(now time.Time) {
+		if change.Action == operator.ActionRemove {
+			result = c.replica.Remove(now, name)
+			return
+		}
+		result = c.replica.Admit(now, consensus.Member{Name: name, Address: change.Address})
+	})
+	if err != nil {
+		return err
+	}
+	return memberError(result)
+}
+
+// memberError maps errors of the log to answers. A change that is already in
+// force is no error, because it may be sent again after a lost answer.
+func memberError(err error) error {
+	switch {
+	case err == nil, errors.Is(err, consensus.ErrKnownMember), errors.Is(err, consensus.ErrUnknownMember):
+		return nil
+	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrChangePending):
+		return &operator.Error{Status: http.StatusServiceUnavailable, Code: operator.CodeUnavailable, Message: err.Error()}
+	default:
+		return &operator.Error{Status: http.StatusConflict, Code: operator.CodeConflict, Message: err.Error()}
+	}
+}
+
+// Catalog returns the replica's applied configuration, which may be behind.
+func (c *Control) Catalog(ctx context.Context) (*catalog.Catalog, error) {
+	var cat *catalog.Catalog
+	err := c.loop.Do(ctx, func(time.Time) { cat = c.machine.Catalog() })
+	return cat, err
+}
--- /dev/null
+++ b/io/node/entry.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/job"
+	"zinniasill/core/message"
+	"zinniasill/io/daemon"
+)
+
+// EntryConfig configures an Entry.
+type EntryConfig struct {
+	// Report is what the entry reports to control: id, domain and address.
+	Report   catalog.NodeEntry
+	Replicas []zinniasill.NodeID
+	Sender   daemon.Sender
+	Clock    zinniasill.Clock
+	Counters zinniasill.Counters
+	Log      logrus.FieldLogger
+	Picker   zinniasill.Picker
+	Rand     *rand.Rand
+	Limits   job.Limits
+}
+
+// Entry is the role that takes jobs from callers. Use NewEntry.
+type Entry struct {
+	cfg    EntryConfig
+	keeper *Keeper
+	jobs   *job.Coordinator
+	loop   *daemon.Loop
+	last   atomic.Uint64
+	// waiting is used on the loop's goroutine only.
+	waiting map[job.RequestID]chan message.Answer
+}
+
+// NewEntry returns an entry that has not started.
+func NewEntry(cfg EntryConfig) *Entry {
+	cfg.Report.Role = catalog.RoleEntry
+	cfg.Report.State = catalog.Serving
+	e := &Entry{cfg: cfg, waiting: map[job.RequestID]chan message.Answer{}}
+	e.keeper = NewKeeper(KeeperConfig{
+		Entry: cfg.Report, Replicas: cfg.Replicas, Sender: cfg.Sender,
+		Clock: cfg.Clock, Log: cfg.Log, Restarted: e.restarted,
+	})
+	e.jobs = job.New(job.Config{
+		Self: e.keeper.Node(), Lease: e.keeper, Picker: cfg.Picker,
+		Rand: cfg.Rand, Counters: cfg.Counters, Limits: cfg.Limits,
+	})
+	e.loop = daemon.New(daemon.Config{
+		Machine: e.jobs, Sender: cfg.Sender, Clock: cfg.Clock, After: e.deliverReplies,
+		Dropped: func() { cfg.Counters.Inc("mailbox_dropped", "") },
+	})
+	return e
+}
+
+// Keeper returns the keeper of the entry's lease.
+func (e *Entry) Keeper() *Keeper {
+	return e.keeper
+}
+
+// Start starts the entry's goroutines. The returned channel is closed when all
+// have ended, after ctx has ended.
+func (e *Entry) Start(ctx context.Context) <-chan struct{} {
+	return joined(e.keeper.Start(ctx), e.loop.Start(ctx))
+}
+
+// Deliver hands a message to the entry.
+func (e *Entry) Deliver(env message.Envelope) {
+	if _, ok := env.Body.(message.RenewReply); ok {
+		e.keeper.Deliver(env)
+		return
+	}
+	e.loop.Deliver(env)
+}
+
+// LinkDown tells the entry that the link to a node was lost.
+func (e *Entry) LinkDown(ctx context.Context, node zinniasill.NodeID) {
+	_ = e.loop.Do(ctx, func(now time.Time) { e.jobs.Disconnected(now, node) })
+}
+
+// Submit hands in a job and waits for its answer. When ctx ends first, the job
+// goes on and ctx's error is returned.
+func (e *Entry) Submit(ctx context.Context, sub message.Submission) (message.Answer, error) {
+	id := job.RequestID(e.last.Add(1))
+	answers := make(chan message.Answer, 1)
+	err := e.loop.Do(ctx, func(now time.Time) {
+		e.waiting[id] = answers
+		e.jobs.Submit(now, id, sub)
+	})
+	if err != nil {
+		e.abandon(id)
+		return message.Answer{}, err
+	}
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-ctx.Done():
+		e.abandon(id)
+		return message.Answer{}, ctx.Err()
+	}
+}
+
+// abandon forgets a caller that went away. It waits for the loop at most as long
+// as a busy loop takes.
+func (e *Entry) abandon(id job.RequestID) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = e.loop.Do(ctx, func(now time.Time) {
+		delete(e.waiting, id)
+		e.jobs.Abandon(now, id)
+	})
+}
+
+// Status returns what the entry knows of a job.
+func (e *Entry) Status(ctx context.Context, key zinniasill.Key) (job.Status, error) {
+	var status job.Status
+	err := e.loop.Do(ctx, func(now time.Time) { status = e.jobs.Status(now, key) })
+	return status, err
+}
+
+// Cancel cancels a job that this entry owns. It returns false when there is none.
+func (e *Entry) Cancel(ctx context.Context, key zinniasill.Key) (bool, error) {
+	cancelled := false
+	err := e.loop.Do(ctx, func(now time.Time) { cancelled = e.jobs.Cancel(now, key) })
+	return cancelled, err
+}
+
+// Epoch returns the current epoch, 0 if none is known.
+func (e *Entry) Epoch() zinniasill.Epoch {
+	return e.keeper.Catalog().CurrentEpoch()
+}
+
+// Ready returns an error that says why the entry should get no new jobs.
+func (e *Entry) Ready() error {
+	now := e.cfg.Clock.Now()
+	cat := e.keeper.Catalog()
+	switch {
+	case !e.keeper.Valid(now):
+		return eris.New("no valid lease from control")
+	case !cat.DomainIn(e.cfg.Report.Domain):
+		return eris.Errorf("failure domain %s is out of service", e.cfg.Report.Domain)
+	case cat.Endpoints[e.cfg.Report.Node.ID].State == catalog.Leaving:
+		return eris.New("told to leave by operators")
+	default:
+		return nil
+	}
+}
+
+// Stop refuses new jobs and waits until those in flight have their answers, or
+// until ctx ends.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.keeper.Report(func(entry *catalog.NodeEntry) { entry.State = catalog.Leaving })
+	if err := e.loop.Do(ctx, e.jobs.Drain); err != nil {
+		return err
+	}
+	return e.waitIdle(ctx, func() bool { return e.jobs.Idle() })
+}
+
+func (e *Entry) waitIdle(ctx context.Context, idle func() bool) error {
+	return waitFor(ctx, e.cfg.Clock, e.loop, idle)
+}
+
+// restarted runs on the keeper's goroutine, so it only queues the restart.
+func (e *Entry) restarted(node zinniasill.Node) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), restartTimeout)
+		defer cancel()
+		_ = e.loop.Do(ctx, func(time.Time) { e.jobs.Restart(node) })
+	}()
+}
+
+func (e *Entry) deliverReplies(time.Time) {
+	for _, reply := range e.jobs.Replies() {
+		if answers, ok := e.waiting[reply.Request]; ok {
+			delete(e.waiting, reply.Request)
+			answers <- reply.Answer
+		}
+	}
+}
--- /dev/null
+++ b/io/node/keeper.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/lease"
+	"zinniasill/core/message"
+	"zinniasill/io/daemon"
+)
+
+// leaseTick is the time between ticks of the loop that renews the lease.
+const leaseTick = 20 * time.Millisecond
+
+// NewIncarnation draws the number of a new life of a process. It is never 0,
+// which addresses any incarnation.
+func NewIncarnation() zinniasill.Incarnation {
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // crypto/rand never returns an error
+	return zinniasill.Incarnation(binary.LittleEndian.Uint64(random[:]) | 1)
+}
+
+// KeeperConfig configures a Keeper.
+type KeeperConfig struct {
+	// Entry is what the node reports about itself; the incarnation is drawn by the
+	// keeper.
+	Entry    catalog.NodeEntry
+	Replicas []zinniasill.NodeID
+	Sender   daemon.Sender
+	Clock    zinniasill.Clock
+	Log      logrus.FieldLogger
+	// Restarted is called after this incarnation was declared dead and the node has
+	// taken a new one. It runs on the keeper's goroutine and must not block.
+	Restarted func(node zinniasill.Node)
+}
+
+// Keeper renews a node's lease on a goroutine of its own, so that no other work
+// can delay a renewal, and takes a new incarnation when control has declared the
+// present one dead. Use NewKeeper.
+type Keeper struct {
+	cfg    KeeperConfig
+	holder atomic.Pointer[lease.Holder]
+	node   atomic.Pointer[zinniasill.Node]
+	report atomic.Pointer[catalog.NodeEntry]
+	loop   *daemon.Loop
+	valid  bool
+}
+
+// NewKeeper returns a keeper that has not started.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	k := &Keeper{cfg: cfg}
+	k.report.Store(&cfg.Entry)
+	k.renew()
+	k.loop = daemon.New(daemon.Config{
+		Machine: k, Sender: cfg.Sender, Clock: cfg.Clock, Tick: leaseTick, After: k.after,
+	})
+	return k
+}
+
+// renew takes a new incarnation with a new holder. The cluster stays the same.
+func (k *Keeper) renew() {
+	entry := *k.report.Load()
+	entry.Node.Incarnation = NewIncarnation()
+	cfg := lease.Config{Entry: entry, Replicas: k.cfg.Replicas}
+	if holder := k.holder.Load(); holder != nil {
+		cfg.Cluster = holder.Cluster()
+	}
+	k.holder.Store(lease.New(cfg))
+	k.node.Store(&entry.Node)
+}
+
+// Start starts the keeper's goroutine; the returned channel is closed at its end.
+func (k *Keeper) Start(ctx context.Context) <-chan struct{} {
+	return k.loop.Start(ctx)
+}
+
+// Deliver hands a renewal reply to the keeper.
+func (k *Keeper) Deliver(env message.Envelope) {
+	k.loop.Deliver(env)
+}
+
+// Node returns the present incarnation.
+func (k *Keeper) Node() zinniasill.Node {
+	return *k.node.Load()
+}
+
+// Cluster returns the node's cluster, empty while it is unknown.
+func (k *Keeper) Cluster() zinniasill.ClusterID {
+	return k.holder.Load().Cluster()
+}
+
+// Valid reports whether the node holds a lease at now.
+func (k *Keeper) Valid(now time.Time) bool {
+	return k.holder.Load().Valid(now)
+}
+
+// Catalog returns the node's catalog.
+func (k *Keeper) Catalog() *catalog.Catalog {
+	return k.holder.Load().Catalog()
+}
+
+// Report changes what the node reports about itself.
+func (k *Keeper) Report(change func(entry *catalog.NodeEntry)) {
+	entry := *k.report.Load()
+	change(&entry)
+	k.report.Store(&entry)
+	k.holder.Load().Update(change)
+}
+
+// Receive implements daemon.Machine.
+func (k *Keeper) Receive(now time.Time, env message.Envelope) {
+	k.holder.Load().Receive(now, env)
+}
+
+// Tick implements daemon.Machine.
+func (k *Keeper) Tick(now time.Time) {
+	k.holder.Load().Tick(now)
+}
+
+// Outbox implements daemon.Machine.
+func (k *Keeper) Outbox() []message.Envelope {
+	return k.holder.Load().Outbox()
+}
+
+func (k *Keeper) after(now time.Time) {
+	holder := k.holder.Load()
+	if valid := holder.Valid(now); valid != k.valid {
+		k.valid = valid
+		k.cfg.Log.WithField("revision", holder.Catalog().Revision).Infof("lease valid: %t", valid)
+	}
+	if !holder.Dead() {
+		return
+	}
+	dead := k.Node()
+	k.renew()
+	k.cfg.Log.WithField("dead", dead).WithField("node", k.Node()).
+		Warn("declared dead by control; continuing under a new incarnation")
+	if k.cfg.Restarted != nil {
+		k.cfg.Restarted(k.Node())
+	}
+}
--- /dev/null
+++ b/io/settings/settings.go
@@ -0,0 +1,285 @@
+// Package settings holds the settings of all roles. Each setting is a flag with
+// an environment variable.
+//
+//	var s settings.Settings
+//	settings.Register(command, &s, settings.RoleEntry)
+//	...
+//	if findings := s.Check(settings.RoleEntry); len(findings) > 0 {
+//		return findings
+//	}
+//
+// Check reports every problem at once, each with its flag.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"zinniasill"
+	"zinniasill/core/consensus"
+	"zinniasill/core/control"
+)
+
+// Role selects the settings of one subcommand.
+type Role string
+
+// Values of Role.
+const (
+	RoleControl  Role = "control"
+	RoleEntry    Role = "entry"
+	RoleAgent    Role = "agent"
+	RoleAllInOne Role = "all-in-one"
+)
+
+// Bounds of settings.
+const (
+	minLease = time.Second
+	maxLease = 8 * time.Second
+	maxStop  = 10 * time.Minute
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	Name        string
+	Domain      string
+	Listen      string
+	Advertise   string
+	HTTP        string
+	Metrics     string
+	Members     string
+	DataFolder  string
+	NewCluster  bool
+	Lease       time.Duration
+	StopTimeout time.Duration
+	MaxRequests int
+	LogLevel    string
+	LogFormat   string
+	TLSCert     string
+	TLSKey      string
+	TLSCA       string
+	Insecure    bool
+}
+
+// Register adds the flags of a role to a command.
+func Register(cmd *kingpin.CmdClause, s *Settings, role Role) {
+	flag := func(name, help string) *kingpin.FlagClause {
+		return cmd.Flag(name, help).Envar("ZINNIASILL_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
+	}
+	flag("name", "Name of this process, unique in the cluster.").StringVar(&s.Name)
+	flag("domain", "Failure domain that this process runs in.").StringVar(&s.Domain)
+	flag("listen", "IP address and port for the other processes of the cluster.").StringVar(&s.Listen)
+	flag("advertise", "IP address and port that others reach this process at; the listen address by default.").
+		StringVar(&s.Advertise)
+	flag("metrics", "IP address and port for /metrics, /livez, /readyz and /healthz.").StringVar(&s.Metrics)
+	flag("members", "Control replicas as name=ip:port, separated by commas.").StringVar(&s.Members)
+	flag("stop-timeout", "Longest time for a graceful stop.").Default("30s").DurationVar(&s.StopTimeout)
+	flag("log-level", "debug, info, warning or error.").Default("info").StringVar(&s.LogLevel)
+	flag("log-format", "text or json.").Default("text").StringVar(&s.LogFormat)
+	flag("tls-cert", "File with the certificate of this process.").StringVar(&s.TLSCert)
+	flag("tls-key", "File with the private key of this process.").StringVar(&s.TLSKey)
+	flag("tls-ca", "File with the certificates of the authorities of peers.").StringVar(&s.TLSCA)
+	flag("insecure-loopback", "Run without TLS. Allowed only when all addresses are loopback addresses.").
+		BoolVar(&s.Insecure)
+	httpHelp := map[Role]string{
+		RoleControl:  "IP address and port of the interface for operators.",
+		RoleEntry:    "IP address and port of the interface for callers.",
+		RoleAgent:    "IP address and port of the interface for the endpoint beside the agent.",
+		RoleAllInOne: "IP address and port of all interfaces.",
+	}
+	flag("http", httpHelp[role]).StringVar(&s.HTTP)
+	if role == RoleControl || role == RoleAllInOne {
+		flag("data", "Data folder.").StringVar(&s.DataFolder)
+		flag("new-cluster", "Form a new cluster when no listed member has state.").BoolVar(&s.NewCluster)
+		flag("lease", "Length of the leases of entries and agents.").
+			Default(control.DefaultLeaseLength.String()).DurationVar(&s.Lease)
+	}
+	if role == RoleEntry || role == RoleAllInOne {
+		flag("max-requests", "Highest number of callers' requests in progress.").Default("4096").IntVar(&s.MaxRequests)
+	}
+}
+
+// Finding is one problem of the settings, with the flag that has it.
+type Finding struct {
+	Flag    string
+	Problem string
+}
+
+// FindingErrors are all problems of the settings.
+type FindingErrors []Finding
+
+// Error implements error and lists all findings, one a line.
+func (f FindingErrors) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = "--" + finding.Flag + ": " + finding.Problem
+	}
+	return "settings have problems:\n  " + strings.Join(lines, "\n  ")
+}
+
+func (f *FindingErrors) add(flag, format string, args ...any) {
+	*f = append(*f, Finding{Flag: flag, Problem: fmt.Sprintf(format, args...)})
+}
+
+// Check returns all problems of the settings of a role.
+func (s *Settings) Check(role Role) FindingErrors {
+	var found FindingErrors
+	if !control.ValidName(s.Name) {
+		found.add("name", "%q is not a name of letters, digits, '-', '_' and '.'", s.Name)
+	}
+	if role != RoleControl && !control.ValidName(s.Domain) {
+		found.add("domain", "%q is not a name of letters, digits, '-', '_' and '.'", s.Domain)
+	}
+	s.checkAddresses(&found, role)
+	s.checkMembers(&found, role)
+	if role == RoleControl || role == RoleAllInOne {
+		s.checkControl(&found)
+	}
+	if (role == RoleEntry || role == RoleAllInOne) && s.MaxRequests < 1 {
+		found.add("max-requests", "%d is below 1", s.MaxRequests)
+	}
+	if s.StopTimeout <= 0 || s.StopTimeout > maxStop {
+		found.add("stop-timeout", "%s is not between 0 and %s", s.StopTimeout, maxStop)
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		found.add("log-level", "%q is not a level", s.LogLevel)
+	}
+	if s.LogFormat != "text" && s.LogFormat != "json" {
+		found.add("log-format", "%q is neither text nor json", s.LogFormat)
+	}
+	s.checkTLS(&found)
+	return found
+}
+
+func (s *Settings) checkAddresses(found *FindingErrors, role Role) {
+	check := func(flag, address string, required bool) {
+		if address == "" {
+			if required {
+				found.add(flag, "is required")
+			}
+			return
+		}
+		if problem := addressProblem(address); problem != "" {
+			found.add(flag, "%s", problem)
+		}
+	}
+	check("listen", s.Listen, role != RoleAllInOne)
+	check("advertise", s.Advertise, false)
+	check("http", s.HTTP, true)
+	check("metrics", s.Metrics, false)
+}
+
+// addressProblem returns why a text is no IP address with a port, or "".
+func addressProblem(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Sprintf("%q is not an address of the form ip:port", address)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Sprintf("%q is not an IP address", host)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Sprintf("%q is not a port", port)
+	}
+	return ""
+}
+
+func (s *Settings) checkMembers(found *FindingErrors, role Role) {
+	if role == RoleAllInOne {
+		return
+	}
+	members, problems := ParseMembers(s.Members)
+	for _, problem := range problems {
+		found.add("members", "%s", problem)
+	}
+	if role != RoleControl {
+		return
+	}
+	for _, member := range members {
+		if string(member.Name) == s.Name {
+			return
+		}
+	}
+	found.add("members", "does not list this replica, %q", s.Name)
+}
+
+// ParseMembers parses a list of control replicas and returns all its problems.
+func ParseMembers(list string) (members []consensus.Member, problems []string) {
+	if list == "" {
+		return nil, []string{"is required"}
+	}
+	seen := map[string]bool{}
+	for _, item := range strings.Split(list, ",") {
+		name, address, ok := strings.Cut(strings.TrimSpace(item), "=")
+		if !ok {
+			problems = append(problems, fmt.Sprintf("%q is not of the form name=ip:port", item))
+			continue
+		}
+		if !control.ValidName(name) {
+			problems = append(problems, fmt.Sprintf("%q is not a valid name", name))
+		}
+		if seen[name] {
+			problems = append(problems, fmt.Sprintf("%q is listed twice", name))
+		}
+		seen[name] = true
+		if problem := addressProblem(address); problem != "" {
+			problems = append(problems, problem)
+		}
+		members = append(members, consensus.Member{Name: zinniasill.NodeID(name), Address: address})
+	}
+	return members, problems
+}
+
+func (s *Settings) checkControl(found *FindingErrors) {
+	if s.DataFolder == "" {
+		found.add("data", "is required")
+	}
+	if s.Lease < minLease || s.Lease > maxLease {
+		found.add("lease", "%s is not between %s and %s", s.Lease, minLease, maxLease)
+	}
+}
+
+func (s *Settings) checkTLS(found *FindingErrors) {
+	files := map[string]string{"tls-cert": s.TLSCert, "tls-key": s.TLSKey, "tls-ca": s.TLSCA}
+	given := 0
+	for _, file := range files {
+		if file != "" {
+			given++
+		}
+	}
+	switch {
+	case given == len(files) && s.Insecure:
+		found.add("insecure-loopback", "contradicts the TLS files")
+	case given == len(files):
+	case given > 0:
+		for _, flag := range []string{"tls-cert", "tls-key", "tls-ca"} {
+			if files[flag] == "" {
+				found.add(flag, "is required together with the other TLS files")
+			}
+		}
+	case !s.Insecure:
+		found.add("tls-cert", "TLS files are required unless --insecure-loopback is set")
+	default:
+		s.checkLoopback(found)
+	}
+}
+
+func (s *Settings) checkLoopback(found *FindingErrors) {
+	addresses := map[string]string{
+		"listen": s.Listen, "advertise": s.Advertise, "http": s.HTTP, "metrics": s.Metrics,
+	}
+	for _, flag := range []string{"listen", "advertise", "http", "metrics"} {
+		host, _, err := net.SplitHostPort(addresses[flag])
+		if err != nil {
+			continue
+		}
+		if ip := net.ParseIP(host); ip != nil && !ip.IsLoopback() {
+			found.add("insecure-loopback", "--%s %s is not a loopback address", flag, addresses[flag])
+		}
+	}
+}
