--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -10,6 +10,7 @@
 func (r *Replica) startPreVote() {
 	r.becomeFollower(r.hard.Term, zinniasill.Node{})
 	r.role = PreCandidate
+	r.out.statusDirty = true
 	r.votes = map[zinniasill.Node]bool{r.self: true}
 	if r.hasVotes() {
 		r.campaign(false)
@@ -145,14 +146,19 @@
 	r.leading.sendDue = true
 }
 
-// Transfer hands the leadership to the voter called name. Proposals are refused
+// Transfer hands the leadership to the voter called name, or to the one that has
+// most of the log if name is empty. Proposals are refused
 // until it has taken over, or until the longest election timeout has passed. It
-// returns false when this replica does not lead or name is no other voter.
+// returns false when this replica does not lead or name is no other voter that
+// answers.
 func (r *Replica) Transfer(now time.Time, name zinniasill.NodeID) bool {
 	r.advance(now)
 	voters := r.membership().Voters
+	if name == "" {
+		name = r.successor()
+	}
 	at := indexName(voters, name)
-	if r.role != Leader || at < 0 || voters[at].Node() == r.self {
+	if r.role != Leader || at < 0 || !r.isActive(voters[at].Node()) {
 		return false
 	}
 	r.leading.target = voters[at].Node()
@@ -161,6 +167,19 @@
 	return true
 }
 
+// successor returns the voter that answers and has most of the log.
+func (r *Replica) successor() zinniasill.NodeID {
+	var name zinniasill.NodeID
+	var best Index
+	for _, voter := range r.membership().Voters {
+		f, ok := r.leading.followers[voter.Node()]
+		if ok && r.isActive(voter.Node()) && f.match > best {
+			name, best = voter.Name, f.match
+		}
+	}
+	return name
+}
+
 // continueTransfer asks the target to stand for election once it has the whole
 // log.
 func (r *Replica) continueTransfer() {
--- a/core/consensus/message.go
+++ b/core/consensus/message.go
@@ -68,11 +68,14 @@
 	Term Term `cbor:"1,keyasint"`
 }
 
-// Forward carries a proposal from a follower to the leader.
+// Forward carries a proposal from a follower to the leader. The reply repeats
+// Session, which the follower draws at its start, so that a reply to an earlier
+// process with the same instance is not taken for a reply to this one.
 type Forward struct {
-	Term Term       `cbor:"1,keyasint"`
-	ID   ProposalID `cbor:"2,keyasint"`
-	Data []byte     `cbor:"3,keyasint"`
+	Term    Term       `cbor:"1,keyasint"`
+	ID      ProposalID `cbor:"2,keyasint"`
+	Data    []byte     `cbor:"3,keyasint"`
+	Session uint64     `cbor:"4,keyasint"`
 }
 
 // ForwardReply returns the outcome of a Forward.
@@ -80,18 +83,21 @@
 	ID      ProposalID `cbor:"1,keyasint"`
 	Outcome Outcome    `cbor:"2,keyasint"`
 	Index   Index      `cbor:"3,keyasint"`
+	Session uint64     `cbor:"4,keyasint"`
 }
 
 // ReadRequest asks the leader for a read index.
 type ReadRequest struct {
-	ID ReadID `cbor:"1,keyasint"`
+	ID      ReadID `cbor:"1,keyasint"`
+	Session uint64 `cbor:"2,keyasint"`
 }
 
 // ReadReply answers a ReadRequest.
 type ReadReply struct {
-	ID    ReadID `cbor:"1,keyasint"`
-	OK    bool   `cbor:"2,keyasint,omitempty"`
-	Index Index  `cbor:"3,keyasint"`
+	ID      ReadID `cbor:"1,keyasint"`
+	OK      bool   `cbor:"2,keyasint,omitempty"`
+	Index   Index  `cbor:"3,keyasint"`
+	Session uint64 `cbor:"4,keyasint"`
 }
 
 // Hello introduces a replica during the formation of a cluster. It is answered
--- a/core/consensus/proposal.go
+++ b/core/consensus/proposal.go
@@ -34,14 +34,17 @@
 type proposal struct {
 	id     ProposalID
 	origin zinniasill.Node
+	// session is the one of a forwarded proposal at the leader.
+	session uint64
 	// index is the entry at the leader, 0 for a proposal that was forwarded.
 	index    Index
 	deadline time.Time
 }
 
 // Propose asks for data to become an entry. The result is returned by a later
-// Ready. A proposal whose result is Lost may be made again only if applying it
-// twice has no effect.
+// Ready. The id must be new for this Replica. The network may repeat a forwarded
+// proposal, and a caller may repeat a lost one, so that data must carry what is
+// needed to apply it once.
 func (r *Replica) Propose(now time.Time, id ProposalID, data []byte) {
 	r.advance(now)
 	switch {
@@ -53,7 +56,7 @@
 		r.proposals = append(r.proposals, proposal{
 			id: id, origin: r.self, deadline: now.Add(r.cfg.ProposalTimeout),
 		})
-		r.send(r.leader, Forward{Term: r.hard.Term, ID: id, Data: data})
+		r.send(r.leader, Forward{Term: r.hard.Term, ID: id, Data: data, Session: r.session})
 	}
 }
 
@@ -74,20 +77,25 @@
 
 func (r *Replica) onForward(from zinniasill.Node, req Forward) {
 	for _, p := range r.proposals {
-		if p.origin == from && p.id == req.ID && p.index > 0 {
+		if p.origin == from && p.session == req.Session && p.id == req.ID && p.index > 0 {
 			return
 		}
 	}
 	// A Forward of an earlier term may be a duplicate of one that was answered as
 	// lost, so it is not written.
 	if !r.acceptsProposals() || req.Term != r.hard.Term {
-		r.send(from, ForwardReply{ID: req.ID, Outcome: NotLeader})
+		r.send(from, ForwardReply{ID: req.ID, Outcome: NotLeader, Session: req.Session})
 		return
 	}
-	r.proposals = append(r.proposals, proposal{id: req.ID, origin: from, index: r.addData(req.Data)})
+	r.proposals = append(r.proposals, proposal{
+		id: req.ID, origin: from, session: req.Session, index: r.addData(req.Data),
+	})
 }
 
 func (r *Replica) onForwardReply(reply ForwardReply) {
+	if reply.Session != r.session {
+		return
+	}
 	for i, p := range r.proposals {
 		if p.origin == r.self && p.id == reply.ID && p.index == 0 {
 			r.proposals = append(r.proposals[:i:i], r.proposals[i+1:]...)
@@ -124,7 +132,7 @@
 		r.finish(p.id, outcome, index)
 		return
 	}
-	r.send(p.origin, ForwardReply{ID: p.id, Outcome: outcome, Index: index})
+	r.send(p.origin, ForwardReply{ID: p.id, Outcome: outcome, Index: index, Session: p.session})
 }
 
 // failPending ends all proposals and unconfirmed reads when the leader changed.
--- a/core/consensus/read.go
+++ b/core/consensus/read.go
@@ -21,6 +21,8 @@
 type read struct {
 	id     ReadID
 	origin zinniasill.Node
+	// session is the one of a read that another replica sent.
+	session uint64
 	// round is the quorum round that must be completed, 0 before one was begun.
 	round uint64
 	index Index
@@ -29,7 +31,8 @@
 }
 
 // ReadIndex asks for a point in the log that includes everything committed so
-// far. The result is returned by a later Ready.
+// far. The result is returned by a later Ready. The id must be new for this
+// Replica.
 func (r *Replica) ReadIndex(now time.Time, id ReadID) {
 	r.advance(now)
 	switch {
@@ -39,25 +42,28 @@
 		r.out.reads = append(r.out.reads, ReadResult{ID: id})
 	default:
 		r.reads = append(r.reads, read{id: id, origin: r.self, deadline: now.Add(r.cfg.ProposalTimeout)})
-		r.send(r.leader, ReadRequest{ID: id})
+		r.send(r.leader, ReadRequest{ID: id, Session: r.session})
 	}
 }
 
 func (r *Replica) onReadRequest(from zinniasill.Node, req ReadRequest) {
 	if r.role != Leader {
-		r.send(from, ReadReply{ID: req.ID})
+		r.send(from, ReadReply{ID: req.ID, Session: req.Session})
 		return
 	}
-	r.reads = append(r.reads, read{id: req.ID, origin: from})
+	r.reads = append(r.reads, read{id: req.ID, origin: from, session: req.Session})
 }
 
 func (r *Replica) onReadReply(reply ReadReply) {
+	if reply.Session != r.session {
+		return
+	}
 	for i := range r.reads {
 		q := &r.reads[i]
 		if q.id != reply.ID || q.deadline.IsZero() {
 			continue
 		}
-		r.out.reads = append(r.out.reads, ReadResult(reply))
+		r.out.reads = append(r.out.reads, ReadResult{ID: reply.ID, OK: reply.OK, Index: reply.Index})
 		r.reads = append(r.reads[:i:i], r.reads[i+1:]...)
 		return
 	}
@@ -125,7 +131,7 @@
 
 func (r *Replica) answerRead(q read, ok bool) {
 	if q.origin != r.self {
-		r.send(q.origin, ReadReply{ID: q.id, OK: ok, Index: q.index})
+		r.send(q.origin, ReadReply{ID: q.id, OK: ok, Index: q.index, Session: q.session})
 		return
 	}
 	r.out.reads = append(r.out.reads, ReadResult{ID: q.id, OK: ok, Index: q.index})
--- a/core/consensus/replica.go
+++ b/core/consensus/replica.go
@@ -41,8 +41,10 @@
 	// fault is set when a message contradicts a committed entry.
 	fault error
 
-	leading   leadership
-	forming   formation
+	leading leadership
+	forming formation
+	// session tells apart the requests of this process from those before a restart.
+	session   uint64
 	proposals []proposal
 	reads     []read
 	out       output
@@ -60,6 +62,7 @@
 		hard:     recovered.Hard,
 		snapshot: recovered.Snapshot,
 		quorum:   majority,
+		session:  cfg.Rand.Uint64(),
 	}
 	if r.snapshot != nil {
 		r.log.reset(r.snapshot.Index, r.snapshot.Term)
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -38,14 +38,15 @@
 	snapshotAt time.Time
 }
 
-// syncFollowers makes the followers those of the membership in force.
+// syncFollowers makes the followers those of the membership in force. It is called
+// after an entry was added; new followers are first offered that entry.
 func (r *Replica) syncFollowers() {
 	known := r.leading.followers
 	r.leading.followers = map[zinniasill.Node]*follower{}
 	for _, peer := range r.membership().peers(r.self) {
 		f, ok := known[peer.Node()]
 		if !ok {
-			f = &follower{next: r.log.last() + 1, probing: true, heard: r.now, due: true}
+			f = &follower{next: r.log.last(), probing: true, heard: r.now, due: true}
 		}
 		r.leading.followers[peer.Node()] = f
 	}
