Lose disks in the random simulation and bound repeated probes

Change: a disk is lost at random whenever all replicas are whole. While a follower is probed, entries are sent once within a heartbeat.

--- a/core/consensus/entry.go
+++ b/core/consensus/entry.go
@@ -58,8 +58,3 @@
 	// Entries follow the snapshot without a gap.
 	Entries []Entry
 }
-
-// Empty reports whether the folder held no state.
-func (r Recovered) Empty() bool {
-	return r.Hard == HardState{} && r.Snapshot == nil && len(r.Entries) == 0
-}
--- a/core/consensus/explore_test.go
+++ b/core/consensus/explore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"zinniasill"
 	"zinniasill/internal/explore"
@@ -116,6 +117,9 @@
 	add(leads && w.left.resends > 0, "resend", func(next *world, r *Replica) {
 		next.left.resends--
 		r.leading.sendDue = true
+		for _, f := range r.leading.followers {
+			f.probedAt = time.Time{}
+		}
 		r.repairMembership()
 	})
 	add(r.leader != zinniasill.Node{} && w.left.reads > 0, "read", func(next *world, r *Replica) {
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -34,6 +34,9 @@
 	due     bool
 	heard   time.Time
 	round   uint64
+	// probedAt is when entries were last sent while probing, zero if an answer came
+	// since. The same entries are not sent again within a heartbeat.
+	probedAt time.Time
 	// snapshotAt is when a snapshot was last sent, zero if none is awaited.
 	snapshotAt time.Time
 }
@@ -114,16 +117,24 @@
 	req.PrevIndex = f.next - 1
 	req.PrevTerm, _ = r.log.term(req.PrevIndex)
 	req.Commit = r.commit
-	if f.next <= r.log.last() {
+	probed := f.probing && !f.probedAt.IsZero() && r.now.Sub(f.probedAt) < r.cfg.Heartbeat
+	if f.next <= r.log.last() && !probed {
 		req.Entries = r.log.batch(f.next, r.cfg.BatchEntries, r.cfg.BatchBytes)
-		if !f.probing {
-			f.next += Index(len(req.Entries))
-			f.due = f.next <= r.log.last()
-		}
+		r.noteSent(f, len(req.Entries))
 	}
 	r.sendEarly(to, req)
 }
 
+// noteSent records that entries from f.next on were sent.
+func (r *Replica) noteSent(f *follower, entries int) {
+	if f.probing {
+		f.probedAt = r.now
+		return
+	}
+	f.next += Index(entries)
+	f.due = f.next <= r.log.last()
+}
+
 // sendSnapshot sends the snapshot, or a heartbeat while the answer to the last
 // one is awaited.
 func (r *Replica) sendSnapshot(to zinniasill.Node, f *follower, heartbeat Append) {
@@ -199,6 +210,7 @@
 	}
 	f.heard = r.now
 	f.round = max(f.round, reply.Round)
+	f.probedAt = time.Time{}
 	if !reply.OK {
 		f.next = max(f.match+1, min(f.next-1, reply.Match+1))
 		f.probing = true
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -334,6 +334,21 @@
 	})
 }
 
+// isWhole reports whether the present instances of all replicas are the voters
+// according to the leader, so that one more disk may be lost.
+func (s *sim) isWhole() bool {
+	leader := s.leader()
+	if leader == nil || leader.replica.membershipIndex() > leader.replica.commit {
+		return false
+	}
+	for _, p := range s.procs {
+		if !leader.replica.membership().IsVoter(p.member.Node()) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *sim) waitEqual() {
 	s.t.Helper()
 	s.until("all applied", 20*time.Second, func() bool {
@@ -346,7 +361,7 @@
 	})
 }
 
-// cutFrom cuts or restores all links from or to name.
+// setCut cuts or restores the link from one process to another.
 func (s *sim) setCut(from, to zinniasill.NodeID, cut bool) {
 	s.cut[[2]zinniasill.NodeID{from, to}] = cut
 }
