Report a refused forwarded proposal as lost

Change: a forwarded proposal ends as accepted or lost; only the replica that the proposal was made at may say that it was not written. Remembering all forwarded proposals at the leader was ruled out, because it has no bound within a term.

--- a/core/consensus/proposal.go
+++ b/core/consensus/proposal.go
@@ -18,7 +18,9 @@
 	Accepted Outcome = iota + 1
 	// Lost means that the outcome is not known: the entry may become committed.
 	Lost
-	// NotLeader means that the entry was not written and will not be.
+	// NotLeader means that the entry was not written and will not be, because no
+	// leader was known or the leader is handing over. Proposals that were forwarded
+	// never end so: the network may have delivered another copy.
 	NotLeader
 )
 
@@ -82,9 +84,10 @@
 		}
 	}
 	// A Forward of an earlier term may be a duplicate of one that was answered as
-	// lost, so it is not written.
+	// lost, so it is not written. The refusal is Lost, because an earlier copy may
+	// have been written.
 	if !r.acceptsProposals() || req.Term != r.hard.Term {
-		r.send(from, ForwardReply{ID: req.ID, Outcome: NotLeader, Session: req.Session})
+		r.send(from, ForwardReply{ID: req.ID, Outcome: Lost, Session: req.Session})
 		return
 	}
 	r.proposals = append(r.proposals, proposal{
