Batch the reads of a follower into one request

Cause: nodes renew their leases at any control replica, twice a second each, and every renewal at a follower sent its own request to the leader.

Change: a follower sends one request for all reads since the last Ready. Letting the owner batch them was ruled out, because the leader batches its own reads in the same place.

--- a/core/consensus/message.go
+++ b/core/consensus/message.go
@@ -86,15 +86,16 @@
 	Session uint64     `cbor:"4,keyasint"`
 }
 
-// ReadRequest asks the leader for a read index.
+// ReadRequest asks the leader for a read index. One request stands for all reads of
+// a batch at the sender.
 type ReadRequest struct {
-	ID      ReadID `cbor:"1,keyasint"`
+	Batch   uint64 `cbor:"1,keyasint"`
 	Session uint64 `cbor:"2,keyasint"`
 }
 
 // ReadReply answers a ReadRequest.
 type ReadReply struct {
-	ID      ReadID `cbor:"1,keyasint"`
+	Batch   uint64 `cbor:"1,keyasint"`
 	OK      bool   `cbor:"2,keyasint,omitempty"`
 	Index   Index  `cbor:"3,keyasint"`
 	Session uint64 `cbor:"4,keyasint"`
--- a/core/consensus/read.go
+++ b/core/consensus/read.go
@@ -21,12 +21,14 @@
 type read struct {
 	id     ReadID
 	origin zinniasill.Node
-	// session is the one of a read that another replica sent.
+	// batch numbers the request that this read was sent to the leader with, 0 if it
+	// was not sent. For a read of another replica, batch and session are its own.
+	batch   uint64
 	session uint64
 	// round is the quorum round that must be completed, 0 before one was begun.
 	round uint64
 	index Index
-	// deadline is set for a read that was sent to the leader.
+	// deadline is set for a read that goes to another replica, the leader.
 	deadline time.Time
 }
 
@@ -42,31 +44,44 @@
 		r.out.reads = append(r.out.reads, ReadResult{ID: id})
 	default:
 		r.reads = append(r.reads, read{id: id, origin: r.self, deadline: now.Add(r.cfg.ProposalTimeout)})
-		r.send(r.leader, ReadRequest{ID: id, Session: r.session})
+	}
+}
+
+// sendReads sends one request for all reads since the last one.
+func (r *Replica) sendReads() {
+	unsent := false
+	for i := range r.reads {
+		q := &r.reads[i]
+		if q.batch == 0 {
+			q.batch = r.batch + 1
+			unsent = true
+		}
+	}
+	if unsent {
+		r.batch++
+		r.send(r.leader, ReadRequest{Batch: r.batch, Session: r.session})
 	}
 }
 
 func (r *Replica) onReadRequest(from zinniasill.Node, req ReadRequest) {
 	if r.role != Leader {
-		r.send(from, ReadReply{ID: req.ID, Session: req.Session})
+		r.send(from, ReadReply{Batch: req.Batch, Session: req.Session})
 		return
 	}
-	r.reads = append(r.reads, read{id: req.ID, origin: from, session: req.Session})
+	r.reads = append(r.reads, read{origin: from, batch: req.Batch, session: req.Session})
 }
 
 func (r *Replica) onReadReply(reply ReadReply) {
 	if reply.Session != r.session {
 		return
 	}
-	for i := range r.reads {
-		q := &r.reads[i]
-		if q.id != reply.ID || q.deadline.IsZero() {
-			continue
+	r.keepReads(func(q read) bool {
+		if q.origin != r.self || q.batch == 0 || q.batch != reply.Batch {
+			return true
 		}
-		r.out.reads = append(r.out.reads, ReadResult{ID: reply.ID, OK: reply.OK, Index: reply.Index})
-		r.reads = append(r.reads[:i:i], r.reads[i+1:]...)
-		return
-	}
+		r.out.reads = append(r.out.reads, ReadResult{ID: q.id, OK: reply.OK, Index: reply.Index})
+		return false
+	})
 }
 
 // startReadRound begins one quorum round for all reads that wait for one. The
@@ -131,7 +146,7 @@
 
 func (r *Replica) answerRead(q read, ok bool) {
 	if q.origin != r.self {
-		r.send(q.origin, ReadReply{ID: q.id, OK: ok, Index: q.index, Session: q.session})
+		r.send(q.origin, ReadReply{Batch: q.batch, OK: ok, Index: q.index, Session: q.session})
 		return
 	}
 	r.out.reads = append(r.out.reads, ReadResult{ID: q.id, OK: ok, Index: q.index})
--- a/core/consensus/replica.go
+++ b/core/consensus/replica.go
@@ -44,7 +44,9 @@
 	leading leadership
 	forming formation
 	// session tells apart the requests of this process from those before a restart.
-	session   uint64
+	session uint64
+	// batch numbers the requests for reads.
+	batch     uint64
 	proposals []proposal
 	reads     []read
 	out       output
--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -88,10 +88,11 @@
 	return ok && r.now.Sub(f.heard) < r.cfg.ElectionMax
 }
 
-// flush sends what is due to the followers. It is called once for all inputs
-// since the last Ready, so that proposals and reads are batched.
+// flush sends what is due to the followers, or reads to the leader. It is called
+// once for all inputs since the last Ready, so that proposals and reads are batched.
 func (r *Replica) flush() {
 	if r.role != Leader {
+		r.sendReads()
 		return
 	}
 	r.startReadRound()
