--- a/core/consensus/replicate.go
+++ b/core/consensus/replicate.go
@@ -34,18 +34,22 @@
 	due     bool
 	heard   time.Time
 	round   uint64
+	// probedAt is when entries were last sent while probing, zero if an answer came
+	// since. The same entries are not sent again within a heartbeat.
+	probedAt time.Time
 	// snapshotAt is when a snapshot was last sent, zero if none is awaited.
 	snapshotAt time.Time
 }
 
-// syncFollowers makes the followers those of the membership in force.
+// syncFollowers makes the followers those of the membership in force. It is called
+// after an entry was added; new followers are first offered that entry.
 func (r *Replica) syncFollowers() {
 	known := r.leading.followers
 	r.leading.followers = map[zinniasill.Node]*follower{}
 	for _, peer := range r.membership().peers(r.self) {
 		f, ok := known[peer.Node()]
 		if !ok {
-			f = &follower{next: r.log.last() + 1, probing: true, heard: r.now, due: true}
+			f = &follower{next: r.log.last(), probing: true, heard: r.now, due: true}
 		}
 		r.leading.followers[peer.Node()] = f
 	}
@@ -84,10 +88,11 @@
 	return ok && r.now.Sub(f.heard) < r.cfg.ElectionMax
 }
 
-// flush sends what is due to the followers. It is called once for all inputs
-// since the last Ready, so that proposals and reads are batched.
+// flush sends what is due to the followers, or reads to the leader. It is called
+// once for all inputs since the last Ready, so that proposals and reads are batched.
 func (r *Replica) flush() {
 	if r.role != Leader {
+		r.sendReads()
 		return
 	}
 	r.startReadRound()
@@ -113,16 +118,24 @@
 	req.PrevIndex = f.next - 1
 	req.PrevTerm, _ = r.log.term(req.PrevIndex)
 	req.Commit = r.commit
-	if f.next <= r.log.last() {
+	probed := f.probing && !f.probedAt.IsZero() && r.now.Sub(f.probedAt) < r.cfg.Heartbeat
+	if f.next <= r.log.last() && !probed {
 		req.Entries = r.log.batch(f.next, r.cfg.BatchEntries, r.cfg.BatchBytes)
-		if !f.probing {
-			f.next += Index(len(req.Entries))
-			f.due = f.next <= r.log.last()
-		}
+		r.noteSent(f, len(req.Entries))
 	}
 	r.sendEarly(to, req)
 }
 
+// noteSent records that entries from f.next on were sent.
+func (r *Replica) noteSent(f *follower, entries int) {
+	if f.probing {
+		f.probedAt = r.now
+		return
+	}
+	f.next += Index(entries)
+	f.due = f.next <= r.log.last()
+}
+
 // sendSnapshot sends the snapshot, or a heartbeat while the answer to the last
 // one is awaited.
 func (r *Replica) sendSnapshot(to zinniasill.Node, f *follower, heartbeat Append) {
@@ -198,6 +211,7 @@
 	}
 	f.heard = r.now
 	f.round = max(f.round, reply.Round)
+	f.probedAt = time.Time{}
 	if !reply.OK {
 		f.next = max(f.match+1, min(f.next-1, reply.Match+1))
 		f.probing = true
