--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -183,6 +183,13 @@
 	}
 }
 
+// Complete reports whether a decoded catalog has all its parts, so that changes
+// can be applied to it.
+func (c *Catalog) Complete() bool {
+	return c.Profiles != nil && c.Domains != nil && c.Endpoints != nil &&
+		c.Teams != nil && c.Nodes != nil && c.Hosts != nil
+}
+
 // Clone returns a copy that shares no mutable state with the catalog. Slices in
 // the entries are never modified after a change was accepted and are shared.
 func (c *Catalog) Clone() *Catalog {
--- a/core/control/machine_test.go
+++ b/core/control/machine_test.go
@@ -42,7 +42,7 @@
 }
 
 // TestHandover guards against records of a stopped agent that cannot be found,
-// through a second handover and until their epochs are dropped.
+// through a second handover, a snapshot, and until their epochs are dropped.
 func TestHandover(t *testing.T) {
 	a := &applier{t: t, machine: New()}
 	a1, b1, c1 := agentNode("a", 1), agentNode("b", 1), agentNode("c", 1)
@@ -56,6 +56,9 @@
 			t.Fatalf("handover %v: %q", move, code)
 		}
 	}
+	if err := a.machine.Restore(a.machine.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
 	if host, ok := a.machine.Catalog().Host(a1); !ok || host != c1 {
 		t.Errorf("host %v %t, want %v", host, ok, c1)
 	}
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -74,8 +74,7 @@
 		return eris.Wrapf(ErrSnapshot, "version %d, known is %d", s.Version, snapshotVersion)
 	}
 	c := s.Catalog
-	if c == nil || c.Profiles == nil || c.Domains == nil || c.Endpoints == nil ||
-		c.Teams == nil || c.Nodes == nil || c.Hosts == nil {
+	if c == nil || !c.Complete() {
 		return eris.Wrap(ErrSnapshot, "catalog is incomplete")
 	}
 	if len(s.Requests) > limit.requests || len(s.Dead) > limit.dead {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -259,7 +259,7 @@
 		return
 	}
 	if reply.Full != nil {
-		if reply.Full.Revision > h.catalog.Revision {
+		if reply.Full.Revision > h.catalog.Revision && reply.Full.Complete() {
 			h.catalog = reply.Full
 		}
 		return
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -50,6 +50,9 @@
 		"gap in changes": {func(_ *message.Envelope, r *message.RenewReply) {
 			r.Revision, r.Changes = 2, []catalog.Change{{Revision: 2, Domain: domain}}
 		}, false},
+		"incomplete catalog": {func(_ *message.Envelope, r *message.RenewReply) {
+			r.Revision, r.Full = 1, &catalog.Catalog{Revision: 1}
+		}, false},
 		"with changes": {func(_ *message.Envelope, r *message.RenewReply) {
 			r.Revision, r.Changes = 1, []catalog.Change{{Revision: 1, Domain: domain}}
 		}, true},
