Add the transport between own processes

Cause: roles need links that carry envelopes, notice silent connections and refuse foreign clients.

Change: io/peer carries CBOR frames over one drpc stream per link, without generated code. One table assigns each message type its CBOR tag and its queue; control messages leave before bulk ones. Protobuf messages were ruled out, because the plain structs of core would be converted on each hop. The hello names the node meant to be reached and the sender's own address, so that a reply finds a node that the catalog does not list yet.

TLS links and a queue bound in bytes are not yet tested or present.

--- /dev/null
+++ b/io/peer/codec.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"bytes"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"zinniasill/core/message"
+)
+
+// tagBase is added to a type's number to form its CBOR tag. The range from here
+// on is unassigned in the registry of CBOR tags.
+const tagBase = 60000
+
+// Class says which queue of a link a message type waits in.
+type Class uint8
+
+// Values of Class.
+const (
+	// Control is for short messages that keep leases, claims and the log alive.
+	Control Class = iota
+	// Bulk is for messages that carry payloads or outputs. They leave after the
+	// control messages that wait, and cannot take the space of these.
+	Bulk
+)
+
+// Type assigns a number to one message type. A number is never reused for
+// another type.
+type Type struct {
+	Number uint64
+	// Sample is any value of the type, not a pointer.
+	Sample any
+	Class  Class
+}
+
+// CoreTypes returns the table of the types in package message. Numbers from 64
+// on are free for other packages.
+func CoreTypes() []Type {
+	return []Type{
+		{Number: 1, Sample: message.Renew{}},
+		{Number: 2, Sample: message.RenewReply{}},
+		{Number: 3, Sample: message.ClaimFast{}},
+		{Number: 4, Sample: message.ClaimPrepare{}},
+		{Number: 5, Sample: message.ClaimAccept{}},
+		{Number: 6, Sample: message.ClaimRead{}},
+		{Number: 7, Sample: message.ClaimReply{}},
+		{Number: 8, Sample: message.Offer{}, Class: Bulk},
+		{Number: 9, Sample: message.OfferReply{}, Class: Bulk},
+		{Number: 10, Sample: message.Fetch{}},
+		{Number: 11, Sample: message.Grant{}},
+		{Number: 12, Sample: message.Withdraw{}},
+		{Number: 13, Sample: message.WithdrawReply{}, Class: Bulk},
+		{Number: 14, Sample: message.Fence{}},
+		{Number: 15, Sample: message.FenceReply{}, Class: Bulk},
+		{Number: 16, Sample: message.Result{}, Class: Bulk},
+		{Number: 17, Sample: message.ResultAck{}},
+		{Number: 18, Sample: message.Attach{}},
+		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
+	}
+}
+
+// Codec encodes and decodes envelopes. It is safe for concurrent use.
+type Codec struct {
+	encode  cbor.UserBufferEncMode
+	decode  cbor.DecMode
+	classes map[reflect.Type]Class
+}
+
+// NewCodec returns a codec for CoreTypes and the given types. It returns an error
+// when two types share a number or a type is listed twice.
+func NewCodec(types ...Type) (*Codec, error) {
+	tags := cbor.NewTagSet()
+	opts := cbor.TagOptions{EncTag: cbor.EncTagRequired, DecTag: cbor.DecTagRequired}
+	classes := map[reflect.Type]Class{}
+	for _, entry := range append(CoreTypes(), types...) {
+		kind := reflect.TypeOf(entry.Sample)
+		if err := tags.Add(opts, kind, tagBase+entry.Number); err != nil {
+			return nil, eris.Wrapf(err, "register message type %v as number %d", kind, entry.Number)
+		}
+		classes[kind] = entry.Class
+	}
+	encode, err := cbor.EncOptions{}.UserBufferEncModeWithTags(tags)
+	if err != nil {
+		return nil, eris.Wrap(err, "set up the CBOR encoder")
+	}
+	// Texts such as an endpoint's error may hold invalid UTF-8. Refusing them here
+	// would close the link for all other messages too.
+	decode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		IndefLength:       cbor.IndefLengthForbidden,
+		UTF8:              cbor.UTF8DecodeInvalid,
+	}.DecModeWithTags(tags)
+	if err != nil {
+		return nil, eris.Wrap(err, "set up the CBOR decoder")
+	}
+	return &Codec{encode: encode, decode: decode, classes: classes}, nil
+}
+
+// class returns the class of a body, and false when its type is not registered.
+func (c *Codec) class(body any) (Class, bool) {
+	class, ok := c.classes[reflect.TypeOf(body)]
+	return class, ok
+}
+
+// Encode appends the encoded envelope to buf. It returns an error when the type
+// of the body is not registered.
+func (c *Codec) Encode(buf *bytes.Buffer, env message.Envelope) error {
+	if _, ok := c.class(env.Body); !ok {
+		return eris.Errorf("message type %T is not registered", env.Body)
+	}
+	return eris.Wrapf(c.encode.MarshalToBuffer(env, buf), "encode %T", env.Body)
+}
+
+// Decode decodes the first envelope of data and returns the bytes after it. The
+// envelope shares no memory with data.
+func (c *Codec) Decode(data []byte) (env message.Envelope, rest []byte, err error) {
+	rest, err = c.decode.UnmarshalFirst(data, &env)
+	if err != nil {
+		return message.Envelope{}, nil, &ProtocolError{Reason: reasonMalformed, Message: err.Error()}
+	}
+	if env.Version != message.Version {
+		return message.Envelope{}, nil, versionError(env.Version)
+	}
+	if _, ok := c.class(env.Body); !ok {
+		return message.Envelope{}, nil, &ProtocolError{
+			Reason:  reasonUnknownType,
+			Message: "body is not a registered message type",
+		}
+	}
+	return env, rest, nil
+}
--- /dev/null
+++ b/io/peer/codec_test.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"zinniasill"
+	"zinniasill/core/message"
+)
+
+func newCodec(t testing.TB) *Codec {
+	t.Helper()
+	codec, err := NewCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return codec
+}
+
+func encoded(t testing.TB, codec *Codec, env message.Envelope) []byte {
+	t.Helper()
+	var buf bytes.Buffer
+	if err := codec.Encode(&buf, env); err != nil {
+		t.Fatal(err)
+	}
+	return buf.Bytes()
+}
+
+func envelope(body any) message.Envelope {
+	return message.Envelope{
+		Version: message.Version,
+		Cluster: "c1",
+		From:    zinniasill.Node{ID: "entry-1", Incarnation: 7},
+		To:      zinniasill.Node{ID: "agent-1", Incarnation: 9},
+		Body:    body,
+	}
+}
+
+// anyOf draws a body of one type.
+func anyOf[V any]() func(*rapid.T) any {
+	generator := rapid.Make[V]()
+	return func(t *rapid.T) any { return generator.Draw(t, "body") }
+}
+
+var bodies = []func(*rapid.T) any{
+	anyOf[message.Renew](),
+	anyOf[message.RenewReply](),
+	anyOf[message.ClaimFast](),
+	anyOf[message.ClaimPrepare](),
+	anyOf[message.ClaimAccept](),
+	anyOf[message.ClaimRead](),
+	anyOf[message.ClaimReply](),
+	anyOf[message.Offer](),
+	anyOf[message.OfferReply](),
+	anyOf[message.Fetch](),
+	anyOf[message.Grant](),
+	anyOf[message.Withdraw](),
+	anyOf[message.WithdrawReply](),
+	anyOf[message.Fence](),
+	anyOf[message.FenceReply](),
+	anyOf[message.Result](),
+	anyOf[message.ResultAck](),
+	anyOf[message.Attach](),
+	anyOf[message.AttachReply](),
+}
+
+// plain renders a value with nil and empty collections alike, because the wire
+// does not tell them apart.
+func plain(t *rapid.T, value any) string {
+	text, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.NewReplacer("[]", "null", "{}", "null", `""`, "null").Replace(string(text))
+}
+
+// Guards against a message type that changes or loses a field on the wire, such
+// as two fields with one number.
+func TestCodecKeepsEveryType(t *testing.T) {
+	codec := newCodec(t)
+	if len(bodies) != len(CoreTypes()) {
+		t.Fatalf("%d generators for %d types", len(bodies), len(CoreTypes()))
+	}
+	for _, draw := range bodies {
+		rapid.Check(t, func(r *rapid.T) {
+			env := envelope(draw(r))
+			var buf bytes.Buffer
+			if err := codec.Encode(&buf, env); err != nil {
+				r.Fatal(err)
+			}
+			got, rest, err := codec.Decode(append(buf.Bytes(), 1, 2))
+			if err != nil || len(rest) != 2 {
+				r.Fatalf("%T: %v, %d bytes left", env.Body, err, len(rest))
+			}
+			if reflect.TypeOf(got.Body) != reflect.TypeOf(env.Body) || plain(r, got) != plain(r, env) {
+				r.Fatalf("got %+v, want %+v", got, env)
+			}
+		})
+	}
+}
+
+// later is a type that only a later release knows.
+type later struct{ A int }
+
+// Guards against a decoder that accepts what it does not understand.
+func TestCodecRefuses(t *testing.T) {
+	codec := newCodec(t)
+	more, err := NewCodec(Type{Number: 99, Sample: later{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := envelope(message.Grant{})
+	old.Version = message.Version + 1
+	good := encoded(t, codec, envelope(message.Grant{Key: zinniasill.Key{Team: "a", Client: "b"}}))
+	tests := map[string]struct {
+		data []byte
+		want zinniasill.Reason
+	}{
+		"unknown type":    {encoded(t, more, envelope(later{1})), reasonUnknownType},
+		"unknown version": {encoded(t, codec, old), reasonVersion},
+		"cut off":         {good[:len(good)-1], reasonMalformed},
+		"not CBOR":        {[]byte("GET / HTTP/1.1\r\n\r\n"), reasonMalformed},
+		"empty":           {nil, reasonMalformed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, _, err := codec.Decode(test.data)
+			var protocol *ProtocolError
+			if !errors.As(err, &protocol) || protocol.Reason != test.want {
+				t.Fatalf("got %v, want reason %s", err, test.want)
+			}
+		})
+	}
+	var buf bytes.Buffer
+	if err := codec.Encode(&buf, envelope("text")); err == nil {
+		t.Fatal("a body without a number was encoded")
+	}
+	if _, err := NewCodec(Type{Number: 1, Sample: later{}}); err == nil {
+		t.Fatal("a number was assigned twice")
+	}
+}
+
+// Guards against input that makes the decoder panic or that it reads differently
+// from what it would write.
+func FuzzDecode(f *testing.F) {
+	codec := newCodec(f)
+	for _, entry := range CoreTypes() {
+		f.Add(encoded(f, codec, envelope(entry.Sample)))
+	}
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Add([]byte{0x9f, 0xff})
+	f.Add([]byte{0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		env, _, err := codec.Decode(data)
+		if err != nil {
+			return
+		}
+		again, rest, err := codec.Decode(encoded(t, codec, env))
+		if err != nil || len(rest) != 0 || !reflect.DeepEqual(reflect.TypeOf(again.Body), reflect.TypeOf(env.Body)) {
+			t.Fatalf("decoded %+v, but its encoding gives %+v, %v", env, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/io/peer/frame.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+
+	"zinniasill"
+	"zinniasill/core/message"
+)
+
+// method is the name of the drpc stream.
+const method = "/zinniasill.Peer/Link"
+
+// MaxFrame is the highest size of a frame in bytes.
+const MaxFrame = 16 << 20
+
+// Reasons of protocol errors, the labels of the counter peer_refused_total.
+const (
+	reasonProtocol    zinniasill.Reason = "protocol"
+	reasonMalformed   zinniasill.Reason = "malformed"
+	reasonUnknownType zinniasill.Reason = "unknown-type"
+	reasonVersion     zinniasill.Reason = "version"
+	reasonMethod      zinniasill.Reason = "method"
+	reasonWrongNode   zinniasill.Reason = "wrong-node"
+	reasonNoHello     zinniasill.Reason = "no-hello"
+	reasonTLS         zinniasill.Reason = "tls"
+	reasonTooMany     zinniasill.Reason = "too-many"
+)
+
+// Reasons for closing an established link, the labels of peer_closed_total.
+const (
+	reasonSilent  zinniasill.Reason = "silent"
+	reasonStalled zinniasill.Reason = "stalled"
+)
+
+// Reasons for dropping an envelope, the labels of peer_dropped_total.
+const (
+	reasonQueueFull      zinniasill.Reason = "queue-full"
+	reasonLinkLost       zinniasill.Reason = "link-lost"
+	reasonUnreachable    zinniasill.Reason = "unreachable"
+	reasonUnregistered   zinniasill.Reason = "unregistered"
+	reasonOversized      zinniasill.Reason = "oversized"
+	reasonForeignCluster zinniasill.Reason = "foreign-cluster"
+)
+
+// ProtocolError is the error for input that is not part of the protocol. The
+// connection that it came from is closed.
+type ProtocolError struct {
+	Reason  zinniasill.Reason
+	Message string
+}
+
+// Error implements error.
+func (p *ProtocolError) Error() string {
+	return fmt.Sprintf("peer protocol: %s: %s", p.Reason, p.Message)
+}
+
+func versionError(version uint16) error {
+	return &ProtocolError{
+		Reason:  reasonVersion,
+		Message: fmt.Sprintf("version %d, want %d", version, message.Version),
+	}
+}
+
+// frameKind is the first CBOR item of a frame. Kinds are below 24, so that the
+// item is one byte.
+type frameKind byte
+
+const (
+	frameHello frameKind = iota + 1
+	framePing
+	framePong
+	frameEnvelopes
+)
+
+// hello opens a link. The accepting side answers with its own.
+type hello struct {
+	Version uint16          `cbor:"1,keyasint"`
+	From    zinniasill.Node `cbor:"2,keyasint"`
+	// To is the process that the opener means to reach. It detects an address that
+	// has passed to another process.
+	To zinniasill.NodeID `cbor:"3,keyasint"`
+	// Address is where From accepts links, empty if nowhere.
+	Address string `cbor:"4,keyasint,omitempty"`
+}
+
+// frame is one drpc message: its kind, then a CBOR sequence that depends on it.
+type frame struct {
+	kind  frameKind
+	hello hello
+	// encoded holds encoded envelopes of a frame to send.
+	encoded []byte
+	// deliver receives the envelopes of a received frame.
+	deliver func(env message.Envelope)
+}
+
+// encoding implements drpc.Encoding for *frame.
+type encoding struct {
+	codec *Codec
+}
+
+var _ drpc.Encoding = encoding{}
+
+// Marshal implements drpc.Encoding.
+func (e encoding) Marshal(msg drpc.Message) ([]byte, error) {
+	return e.MarshalAppend(nil, msg)
+}
+
+// MarshalAppend appends the encoded frame to buf.
+func (e encoding) MarshalAppend(buf []byte, msg drpc.Message) ([]byte, error) {
+	out, ok := msg.(*frame)
+	if !ok {
+		return nil, eris.Errorf("encode frame: unexpected type %T", msg)
+	}
+	buf = append(buf, byte(out.kind))
+	switch out.kind {
+	case frameHello:
+		var body bytes.Buffer
+		if err := e.codec.encode.MarshalToBuffer(out.hello, &body); err != nil {
+			return nil, eris.Wrap(err, "encode hello")
+		}
+		return append(buf, body.Bytes()...), nil
+	default:
+		return append(buf, out.encoded...), nil
+	}
+}
+
+// Unmarshal decodes a frame into msg and delivers its envelopes. It returns a
+// *ProtocolError for anything that is not a whole frame.
+func (e encoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	in, ok := msg.(*frame)
+	if !ok {
+		return eris.Errorf("decode frame: unexpected type %T", msg)
+	}
+	if len(buf) == 0 {
+		return &ProtocolError{Reason: reasonMalformed, Message: "empty frame"}
+	}
+	in.kind = frameKind(buf[0])
+	body := buf[1:]
+	switch {
+	case in.kind == frameHello:
+		return e.unmarshalHello(body, in)
+	case in.kind == frameEnvelopes && in.deliver != nil:
+		return e.unmarshalEnvelopes(body, in.deliver)
+	case (in.kind == framePing || in.kind == framePong) && len(body) == 0:
+		return nil
+	}
+	return &ProtocolError{
+		Reason:  reasonMalformed,
+		Message: fmt.Sprintf("unexpected frame of kind %d with %d bytes", in.kind, len(body)),
+	}
+}
+
+func (e encoding) unmarshalHello(body []byte, in *frame) error {
+	if err := e.codec.decode.Unmarshal(body, &in.hello); err != nil {
+		return &ProtocolError{Reason: reasonMalformed, Message: "hello: " + err.Error()}
+	}
+	if in.hello.Version != message.Version {
+		return versionError(in.hello.Version)
+	}
+	return nil
+}
+
+func (e encoding) unmarshalEnvelopes(body []byte, deliver func(message.Envelope)) error {
+	for len(body) > 0 {
+		env, rest, err := e.codec.Decode(body)
+		if err != nil {
+			return err
+		}
+		deliver(env)
+		body = rest
+	}
+	return nil
+}
