--- /dev/null
+++ b/core/agent/agent.go
@@ -0,0 +1,312 @@
+// Package agent is the state machine of an agent: it alone starts tasks at the
+// endpoint beside it, and it keeps the record of what it started.
+//
+//	a := agent.New(agent.Config{Self: self, Domain: domain, Lease: lease, Counters: counters})
+//	a.SetEndpoint(now, slots, kinds, true)
+//	a.Receive(now, envelope)
+//	for _, task := range a.Runs(now) {
+//		go run(task) // ends with a.Finished(now, task, outcome) on the loop
+//	}
+//	for _, env := range a.Outbox() {
+//		link.Send(env)
+//	}
+//
+// Runs must be called after each step and before Outbox: a task that is to start
+// is recorded as started by Runs, after a last check of the lease and the
+// failure domain, and answers about it wait for that.
+package agent
+
+import (
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/catalog"
+	"zinniasill/core/claim"
+	"zinniasill/core/message"
+)
+
+const (
+	// DefaultQueueLimit is the highest number of queued tasks.
+	DefaultQueueLimit = 1024
+	// DefaultOutputBudget is the highest size of the kept outputs in bytes.
+	DefaultOutputBudget = 16 << 20
+
+	// resendWait is the time after which a fetch or result is sent again.
+	resendWait = 200 * time.Millisecond
+	// fetchLimit is the time after which a fetch without a grant frees its slot.
+	fetchLimit = time.Second
+	// deadOwnerWait spaces the reports to an owner that is not in the catalog.
+	deadOwnerWait = 2 * time.Second
+)
+
+// Names of counters. A reason is their label.
+const (
+	CounterStarted   = "agent_tasks_started"
+	CounterFinished  = "agent_tasks_finished"
+	CounterClosed    = "agent_attempts_closed"
+	CounterEvicted   = "agent_outputs_evicted"
+	CounterMisdirect = "agent_messages_for_other_incarnation"
+	CounterForeign   = "agent_messages_from_other_owner"
+	CounterExpired   = "agent_messages_for_expired_epoch"
+	CounterIllegal   = "agent_illegal_events"
+	CounterStray     = "agent_outcomes_without_run"
+)
+
+// Lease is the agent's lease from control and the catalog that came with it.
+type Lease interface {
+	// Valid reports whether the lease is in force.
+	Valid(now time.Time) bool
+	// Catalog returns the newest catalog. It is not modified by the agent.
+	Catalog() *catalog.Catalog
+}
+
+// Config configures an Agent.
+type Config struct {
+	Self   zinniasill.Node
+	Domain zinniasill.Domain
+	Lease  Lease
+	// QueueLimit is DefaultQueueLimit if 0.
+	QueueLimit int
+	// OutputBudget in bytes is DefaultOutputBudget if 0.
+	OutputBudget int
+	Counters     zinniasill.Counters
+}
+
+// Agent is the state machine. Use New. It is not safe for concurrent use.
+type Agent struct {
+	cfg      Config
+	acceptor *claim.Acceptor
+	hosted   []*Agent
+	frozen   bool
+
+	slots   int
+	kinds   []zinniasill.Kind
+	serving bool
+	leaving bool
+
+	jobs     map[zinniasill.Key]*job
+	epochs   map[zinniasill.Epoch][]*job
+	oldest   zinniasill.Epoch
+	queue    queue
+	fetching []*task
+	pending  []*task // offered or granted, to be started by Runs
+	reserved int     // slots of pending and fetching tasks
+	running  map[*task]struct{}
+	// runningWork is the sum of the expected run times of the running tasks and
+	// their start times relative to origin.
+	runningWork time.Duration
+	origin      time.Time
+
+	reporting   []*job // jobs with results to be acknowledged
+	fresh       []*job // jobs with results that were never sent
+	outputs     []*task
+	outputBytes int
+	failed      uint64
+	succeeded   uint64
+
+	now     time.Time
+	replies []reply
+	outbox  []message.Envelope
+}
+
+// New returns an agent without an endpoint.
+func New(cfg Config) *Agent {
+	if cfg.QueueLimit == 0 {
+		cfg.QueueLimit = DefaultQueueLimit
+	}
+	if cfg.OutputBudget == 0 {
+		cfg.OutputBudget = DefaultOutputBudget
+	}
+	return &Agent{
+		cfg:      cfg,
+		acceptor: claim.NewAcceptor(cfg.Self),
+		jobs:     map[zinniasill.Key]*job{},
+		epochs:   map[zinniasill.Epoch][]*job{},
+		running:  map[*task]struct{}{},
+	}
+}
+
+// Restart discards all state and continues as another incarnation. It is called
+// when control has declared the present one dead. The caller must first cancel
+// the runs in progress and drop their outcomes.
+func (a *Agent) Restart(node zinniasill.Node) {
+	cfg := a.cfg
+	cfg.Self = node
+	fresh := New(cfg)
+	fresh.slots, fresh.kinds, fresh.serving = a.slots, a.kinds, a.serving
+	fresh.leaving = a.leaving
+	*a = *fresh
+}
+
+// SetEndpoint tells the state of the endpoint. Zero slots mean that it is gone:
+// running tasks then end with an unknown outcome.
+func (a *Agent) SetEndpoint(now time.Time, slots int, kinds []zinniasill.Kind, serving bool) {
+	a.setNow(now)
+	a.slots = slots
+	a.kinds = kinds
+	a.serving = serving
+	if slots == 0 {
+		a.failRunning(now)
+	}
+	a.settle(now)
+}
+
+// Leave makes the agent return its queued tasks and take no new ones.
+func (a *Agent) Leave(now time.Time) {
+	a.setNow(now)
+	a.leaving = true
+	a.settle(now)
+}
+
+// Idle reports whether nothing runs or waits and every result is acknowledged.
+// Results that are owed to an entry not in the catalog do not count: only a
+// takeover collects them, and it also finds them at the host of a handover.
+func (a *Agent) Idle() bool {
+	if len(a.running) > 0 || a.reserved > 0 || a.queue.count > 0 {
+		return false
+	}
+	for _, j := range a.reporting {
+		if len(j.unacked) > 0 && a.ownerAlive(j) {
+			return false
+		}
+	}
+	return true
+}
+
+// Receive implements daemon.Machine.
+func (a *Agent) Receive(now time.Time, env message.Envelope) {
+	if env.To != a.cfg.Self {
+		a.receiveHosted(now, env)
+		return
+	}
+	if a.frozen {
+		return
+	}
+	a.setNow(now)
+	if answer, ok := a.acceptor.Answer(env.Body); ok {
+		a.send(env.From, answer)
+		return
+	}
+	switch body := env.Body.(type) {
+	case message.Offer:
+		a.offer(now, env.From, body)
+	case message.Grant:
+		a.grant(now, env.From, body)
+	case message.Withdraw:
+		a.withdraw(env.From, body)
+	case message.Fence:
+		a.fence(env.From, body)
+	case message.ResultAck:
+		a.acknowledge(env.From, body)
+	}
+	a.settle(now)
+}
+
+// Tick implements daemon.Machine.
+func (a *Agent) Tick(now time.Time) {
+	if a.frozen {
+		return
+	}
+	a.setNow(now)
+	a.dropExpired()
+	a.settle(now)
+	a.resendFetches(now)
+	a.resendResults(now)
+	for _, h := range a.hosted {
+		h.Tick(now)
+	}
+}
+
+// Runs returns the tasks to start now and records them as started. Those that
+// may not start any more are returned to their owners instead.
+func (a *Agent) Runs(now time.Time) []zinniasill.Task {
+	if len(a.pending) == 0 {
+		return nil
+	}
+	a.setNow(now)
+	if reason := a.refusal(now); reason != "" {
+		a.returnWaiting(reason)
+		return nil
+	}
+	runs := make([]zinniasill.Task, 0, len(a.pending))
+	for _, t := range a.pending {
+		if a.start(now, t) {
+			runs = append(runs, zinniasill.Task{
+				Key: t.job.key, Index: t.index, Attempt: t.attempt, Profile: t.profile, Payload: t.payload,
+			})
+			t.payload = nil
+		}
+	}
+	a.pending = a.pending[:0]
+	return runs
+}
+
+// Outbox implements daemon.Machine.
+func (a *Agent) Outbox() []message.Envelope {
+	a.flushReplies()
+	a.flushResults()
+	out := a.outbox
+	a.outbox = nil
+	for _, h := range a.hosted {
+		out = append(out, h.Outbox()...)
+	}
+	return out
+}
+
+// refusal returns why no task may start now, empty if one may.
+func (a *Agent) refusal(now time.Time) zinniasill.Reason {
+	switch {
+	case a.leaving || a.frozen:
+		return zinniasill.ReasonLeaving
+	case a.slots == 0:
+		return zinniasill.ReasonNoEndpoint
+	case !a.serving:
+		return zinniasill.ReasonLeaving
+	case !a.cfg.Lease.Valid(now):
+		return zinniasill.ReasonLeaseExpired
+	}
+	current := a.cfg.Lease.Catalog()
+	switch {
+	case !current.DomainIn(a.cfg.Domain):
+		return zinniasill.ReasonDomainOut
+	case current.Endpoints[a.cfg.Self.ID].State == catalog.Leaving:
+		return zinniasill.ReasonLeaving
+	default:
+		return ""
+	}
+}
+
+// settle returns the waiting tasks when none may start, and fetches queued tasks
+// for free slots otherwise.
+func (a *Agent) settle(now time.Time) {
+	if a.queue.count == 0 && a.reserved == 0 {
+		return
+	}
+	if reason := a.refusal(now); reason != "" {
+		a.returnWaiting(reason)
+		return
+	}
+	for a.free() > 0 && a.queue.count > 0 {
+		a.fetch(now, a.queue.pop())
+	}
+}
+
+func (a *Agent) free() int { return a.slots - len(a.running) - a.reserved }
+
+// setNow keeps the latest reading for load reports.
+func (a *Agent) setNow(now time.Time) {
+	if a.origin.IsZero() {
+		a.origin = now
+	}
+	a.now = now
+}
+
+func (a *Agent) count(name string, reason zinniasill.Reason) {
+	if a.cfg.Counters != nil {
+		a.cfg.Counters.Inc(name, reason)
+	}
+}
+
+func (a *Agent) send(to zinniasill.Node, body any) {
+	a.outbox = append(a.outbox, message.Envelope{From: a.cfg.Self, To: to, Body: body})
+}
--- /dev/null
+++ b/core/agent/handover.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/chart"
+	"zinniasill/core/claim"
+	"zinniasill/core/message"
+)
+
+// Handover is what an agent that stops as planned gives to one other agent: its
+// own records and those that it hosts.
+type Handover struct {
+	Agents []State `cbor:"1,keyasint"`
+}
+
+// State is the records of one (agent, incarnation).
+type State struct {
+	Claims claim.State `cbor:"1,keyasint"`
+	Jobs   []JobState  `cbor:"2,keyasint"`
+}
+
+// JobState is the record of one job.
+type JobState struct {
+	Key   zinniasill.Key   `cbor:"1,keyasint"`
+	Epoch zinniasill.Epoch `cbor:"2,keyasint"`
+	Term  zinniasill.Term  `cbor:"3,keyasint"`
+	Owner zinniasill.Node  `cbor:"4,keyasint"`
+	Tasks []TaskState      `cbor:"5,keyasint"`
+}
+
+// TaskState is the record of one task.
+type TaskState struct {
+	Index   zinniasill.TaskIndex `cbor:"1,keyasint"`
+	Attempt zinniasill.Attempt   `cbor:"2,keyasint"`
+	Term    zinniasill.Term      `cbor:"3,keyasint"`
+	State   chart.State          `cbor:"4,keyasint"`
+	Reason  zinniasill.Reason    `cbor:"5,keyasint,omitempty"`
+	Outcome zinniasill.Outcome   `cbor:"6,keyasint"`
+	Evicted bool                 `cbor:"7,keyasint,omitempty"`
+	Unacked bool                 `cbor:"8,keyasint,omitempty"`
+}
+
+// Dump freezes the agent and returns its records. Tasks that wait are closed and
+// running ones end with an unknown outcome, so Dump follows Leave and Idle. A
+// frozen agent answers nothing. The records may be given to one agent only.
+func (a *Agent) Dump(now time.Time) Handover {
+	a.setNow(now)
+	a.returnWaiting(zinniasill.ReasonLeaving)
+	a.failRunning(now)
+	a.frozen = true
+	state := State{Claims: a.acceptor.Dump()}
+	jobs := slices.SortedFunc(maps.Values(a.jobs), func(x, y *job) int {
+		return compareTasks(&task{job: x}, &task{job: y})
+	})
+	for _, j := range jobs {
+		state.Jobs = append(state.Jobs, dumpJob(j))
+	}
+	dump := Handover{Agents: []State{state}}
+	for _, h := range a.hosted {
+		dump.Agents = append(dump.Agents, h.Dump(now).Agents...)
+	}
+	return dump
+}
+
+func dumpJob(j *job) JobState {
+	state := JobState{Key: j.key, Epoch: j.epoch, Term: j.term, Owner: j.owner}
+	for _, t := range sortedTasks(j) {
+		state.Tasks = append(state.Tasks, TaskState{
+			Index: t.index, Attempt: t.attempt, Term: t.term, State: t.state, Reason: t.reason,
+			Outcome: t.outcome, Evicted: t.evicted, Unacked: t.unacked,
+		})
+	}
+	return state
+}
+
+// Load makes the agent the host of dumped records: it answers for each of their
+// (agent, incarnation) under that identity and starts nothing for it. A repeated
+// load has no effect, so that it cannot undo later votes.
+func (a *Agent) Load(now time.Time, dump Handover) {
+	for _, state := range dump.Agents {
+		if a.host(state.Claims.Node) == nil && state.Claims.Node != a.cfg.Self {
+			a.hosted = append(a.hosted, a.revive(now, state))
+		}
+	}
+}
+
+// Hosts returns the identities that the agent answers for besides its own.
+func (a *Agent) Hosts() []zinniasill.Node {
+	nodes := make([]zinniasill.Node, 0, len(a.hosted))
+	for _, h := range a.hosted {
+		nodes = append(nodes, h.cfg.Self)
+	}
+	return nodes
+}
+
+func (a *Agent) host(node zinniasill.Node) *Agent {
+	for _, h := range a.hosted {
+		if h.cfg.Self == node {
+			return h
+		}
+	}
+	return nil
+}
+
+func (a *Agent) receiveHosted(now time.Time, env message.Envelope) {
+	h := a.host(env.To)
+	if h == nil || a.frozen {
+		a.count(CounterMisdirect, "")
+		return
+	}
+	h.Receive(now, env)
+}
+
+// revive returns an agent that leaves and has no endpoint, with loaded records.
+func (a *Agent) revive(now time.Time, state State) *Agent {
+	cfg := a.cfg
+	cfg.Self = state.Claims.Node
+	h := New(cfg)
+	h.leaving = true
+	h.setNow(now)
+	h.acceptor = claim.LoadAcceptor(state.Claims)
+	h.oldest = state.Claims.Oldest
+	for _, dumped := range state.Jobs {
+		h.loadJob(dumped)
+	}
+	return h
+}
+
+func (a *Agent) loadJob(dumped JobState) {
+	j := &job{
+		key: dumped.Key, epoch: dumped.Epoch, term: dumped.Term, owner: dumped.Owner,
+		tasks: make(map[zinniasill.TaskIndex]*task, len(dumped.Tasks)),
+	}
+	a.jobs[j.key] = j
+	a.epochs[j.epoch] = append(a.epochs[j.epoch], j)
+	for _, d := range dumped.Tasks {
+		t := &task{
+			job: j, index: d.Index, attempt: d.Attempt, term: d.Term, state: d.State, reason: d.Reason,
+			outcome: d.Outcome, evicted: d.Evicted,
+		}
+		j.tasks[t.index] = t
+		a.keepOutput(t)
+		if d.Unacked {
+			a.report(t)
+		}
+	}
+}
