--- a/core/agent/fake_test.go
+++ b/core/agent/fake_test.go
@@ -43,7 +43,7 @@
 	return l
 }
 
-// fixture is an agent with a lease and 1 slot by default.
+// fixture is an agent with a lease that the test controls.
 type fixture struct {
 	agent *agent.Agent
 	lease *lease
@@ -69,11 +69,6 @@
 	f.out = append(f.out, f.agent.Outbox()...)
 }
 
-func (f *fixture) receive(from zinniasill.Node, body any) {
-	f.agent.Receive(f.now, message.Envelope{From: from, To: self, Body: body})
-	f.drain()
-}
-
 func (f *fixture) tick(after time.Duration) {
 	f.now = f.now.Add(after)
 	f.agent.Tick(f.now)
@@ -85,17 +80,6 @@
 	f.drain()
 }
 
-// last returns the latest message of type M and forgets all messages.
-func last[M any](f *fixture) (found M, ok bool) {
-	for _, env := range f.out {
-		if body, is := env.Body.(M); is {
-			found, ok = body, true
-		}
-	}
-	f.out = nil
-	return found, ok
-}
-
 func key(client string) zinniasill.Key { return zinniasill.Key{Team: "team", Client: client} }
 
 func offer(client string, term zinniasill.Term, refs ...message.TaskRef) message.Offer {
--- a/core/agent/naive_test.go
+++ b/core/agent/naive_test.go
@@ -117,7 +117,7 @@
 		}
 		var history []message.Envelope
 		finished := 0
-		steps := rapid.IntRange(1, 80).Draw(t, "steps")
+		steps := rapid.IntRange(1, 400).Draw(t, "steps")
 		for range steps {
 			from := len(f.runs)
 			f.out = nil
