--- a/core/job/claiming.go
+++ b/core/job/claiming.go
@@ -16,6 +16,10 @@
 	cat := c.cfg.Lease.Catalog()
 	r.lookups = nil
 	r.current = cat.CurrentEpoch()
+	if expired(cat, r.stamp) {
+		c.settle(now, r, keyExpired(r.profile))
+		return
+	}
 	// No entry claims in an epoch before the stamp. Epochs before the stamp whose
 	// group is lost can therefore be passed over.
 	r.parked = r.current == 0 || r.stamp > r.current || r.refusal == "" && !c.cfg.Lease.Valid(now)
@@ -36,6 +40,12 @@
 	}
 }
 
+// expired reports whether a stamp is older than the retention window. The window
+// may have moved while a job waited, so every start of look-ups asks.
+func expired(cat *catalog.Catalog, stamp zinniasill.Epoch) bool {
+	return stamp != 0 && len(cat.Epochs) > 0 && stamp < cat.Epochs[0].Number
+}
+
 func (c *Coordinator) lookUp(now time.Time, r *record, epoch catalog.EpochEntry, last bool) {
 	group := c.group(r.key, epoch)
 	if len(group) == 0 {
@@ -106,14 +116,14 @@
 				return
 			}
 		case claim.StatusExpired:
-			if last {
-				r.parked = true
-				return
-			}
 			if r.stamp != 0 && !stamped {
 				c.settle(now, r, keyExpired(r.profile))
 				return
 			}
+			if last {
+				r.parked = true
+				return
+			}
 		case claim.StatusSeen, claim.StatusChosen:
 			if !value.Tombstone || value.Refused != "" {
 				c.found(now, r, l, value)
--- a/core/job/fence.go
+++ b/core/job/fence.go
@@ -141,7 +141,7 @@
 		// The proposal in progress finds the later owner.
 		return
 	}
-	c.supersede(now, r)
+	c.supersede(r)
 	c.claimTerm(now, r, r.term+1)
 }
 
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -98,6 +98,8 @@
 	tasks     []task
 	counts    [taskStates]int
 	cancelled bool
+	// evicted is set when a task ran and its output is no longer kept anywhere.
+	evicted bool
 
 	closing      zinniasill.Reason
 	closeMessage string
--- a/core/job/status.go
+++ b/core/job/status.go
@@ -68,12 +68,14 @@
 		r.setTask(t, taskClose)
 		return false
 	}
-	if reason == zinniasill.ReasonSuperseded {
+	if reason == zinniasill.ReasonSuperseded && t.term == r.term {
 		return true
 	}
-	// A task that is returned because its agent leaves is moved, not retried: its
-	// new place costs no more work than the old one.
-	moved := reason == zinniasill.ReasonDomainOut || reason == zinniasill.ReasonLeaving
+	// A task that is returned because its agent leaves, or because this owner
+	// claimed a later term itself, is moved and not retried: its new place costs no
+	// more work than the old one.
+	moved := reason == zinniasill.ReasonDomainOut || reason == zinniasill.ReasonLeaving ||
+		reason == zinniasill.ReasonSuperseded
 	c.returned(now, r, t, reason, !moved)
 	return false
 }
@@ -115,6 +117,8 @@
 	if !r.setTask(t, event) {
 		return
 	}
+	// An agent keeps the record of a task longer than its output.
+	r.evicted = r.evicted || outcome.OK && status.Reason == zinniasill.ReasonAnswerEvicted
 	t.node = from
 	t.output = outcome.Output
 	t.err = outcome.Error
@@ -193,6 +197,8 @@
 	switch {
 	case r.counts[taskFailed] > 0:
 		c.close(now, r, zinniasill.ReasonTaskFailed, r.firstError())
+	case r.evicted:
+		c.close(now, r, zinniasill.ReasonAnswerEvicted, "a task ran and its output is no longer kept")
 	case r.counts[taskUnknown] > 0:
 		c.close(now, r, zinniasill.ReasonOutcomeUnknown, "an agent was lost and may have started a task")
 	case r.counts[taskFinished] == len(r.tasks):
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -24,7 +24,7 @@
 	}
 	cat := c.cfg.Lease.Catalog()
 	profile, known := cat.Profiles[sub.Profile]
-	if sub.Stamp != 0 && len(cat.Epochs) > 0 && sub.Stamp < cat.Epochs[0].Number {
+	if expired(cat, sub.Stamp) {
 		c.reply(id, keyExpired(profile))
 		return
 	}
--- a/core/job/term.go
+++ b/core/job/term.go
@@ -148,22 +148,19 @@
 		r.extending = false
 		c.progress(now, r)
 	default:
-		c.supersede(now, r)
+		c.supersede(r)
 		c.adopt(now, r, r.epoch, term, value)
 	}
 }
 
 // supersede ends the own term because another entry has taken the job over.
-func (c *Coordinator) supersede(now time.Time, r *record) {
+func (c *Coordinator) supersede(r *record) {
 	c.cfg.Counters.Inc(CounterRefused, zinniasill.ReasonSuperseded)
 	r.ended = r.term
 	r.priors = append(r.priors, r.claim)
 	r.extending = false
 	c.releaseViews(r)
 	r.resetTasks()
-	if r.state == stateClosing && r.closing != zinniasill.ReasonCancelled {
-		c.extendDeadline(now, r)
-	}
 	r.closing = ""
 	c.move(r, eventClaim)
 }
