--- a/core/job/chart.go
+++ b/core/job/chart.go
@@ -1,7 +1,5 @@
 package job
 
-import "zinniasill"
-
 // state is the state of a job.
 type state uint8
 
@@ -76,7 +74,7 @@
 func (c *Coordinator) move(r *record, e event) bool {
 	next, ok := transitions[r.state][e]
 	if !ok {
-		c.cfg.Counters.Inc(CounterUnexpected, zinniasill.Reason("job"))
+		c.cfg.Counters.Inc(CounterUnexpected, "job")
 		return false
 	}
 	r.state = next
@@ -139,30 +137,3 @@
 	taskRunning: {taskFinish: taskFinished, taskFail: taskFailed, taskLose: taskUnknown},
 	taskClosed:  {taskStart: taskRunning, taskFinish: taskFinished, taskFail: taskFailed},
 }
-
-// rules are the parts of the protocol that guarantee 1 and true refusals rest on.
-// Tests replace them to show that the checks find the fault.
-type rules struct {
-	// toFence returns the agents that may have started tasks for earlier terms.
-	toFence func(r *record) []zinniasill.Node
-	// inDoubt reports whether a task in a state may start or have started.
-	inDoubt func(s taskState) bool
-	// lookUp reports whether the register of an epoch before the current one must
-	// be decided before a claim counts.
-	lookUp func(epoch zinniasill.Epoch) bool
-	// tombstone reports whether a refusal after a claim needs a tombstone.
-	tombstone func() bool
-}
-
-func defaultRules() rules {
-	return rules{
-		toFence:   earlierCandidates,
-		inDoubt:   inDoubt,
-		lookUp:    func(zinniasill.Epoch) bool { return true },
-		tombstone: func() bool { return true },
-	}
-}
-
-func inDoubt(s taskState) bool {
-	return s == taskOffered || s == taskGranted || s == taskRunning || s == taskUnknown
-}
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -50,9 +50,11 @@
 	// end. CounterHeldBack counts retries delayed by the budget.
 	CounterRetried  = "tasks_retried"
 	CounterHeldBack = "task_retries_held_back"
-	// CounterTakeover counts jobs taken over, CounterAttached jobs attached to.
-	CounterTakeover = "jobs_taken_over"
-	CounterAttached = "jobs_attached"
+	// CounterTakeover counts jobs taken over, CounterSuperseded jobs that another
+	// entry took over, and CounterAttached jobs attached to.
+	CounterTakeover   = "jobs_taken_over"
+	CounterSuperseded = "jobs_superseded"
+	CounterAttached   = "jobs_attached"
 	// CounterUnexpected counts messages that do not fit the state of a task.
 	CounterUnexpected = "task_messages_unexpected"
 	// CounterEvicted counts answers dropped for their size.
--- a/core/job/fake_test.go
+++ b/core/job/fake_test.go
@@ -109,6 +109,11 @@
 	}
 }
 
+// read returns the agent's state of a register.
+func (a *fakeAgent) read(register message.Register) message.ClaimReply {
+	return a.acceptor.Read(message.ClaimRead{Register: register})
+}
+
 func (a *fakeAgent) offer(from zinniasill.Node, b message.Offer) {
 	reply := message.OfferReply{Key: b.Key, Term: b.Term}
 	for _, t := range b.Tasks {
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -168,7 +168,7 @@
 	t.counted = max(run, 1)
 	r.setTask(t, taskOffer)
 	c.views.Offered(node, 1, t.counted)
-	c.views.Placed(node)
+	c.views.Placed(now, node)
 	batch.add(node, index, len(r.payloads[index]))
 	return true
 }
--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -216,7 +216,7 @@
 func (c *Coordinator) drop(now time.Time, r *record) {
 	c.releaseViews(r)
 	c.quotas.Remove(r.key.Team, r.quota)
-	r.state = stateGone
+	c.move(r, eventDrop)
 	delete(c.jobs, r.key)
 	c.replayRivals(now, r)
 }
--- a/core/job/status.go
+++ b/core/job/status.go
@@ -83,7 +83,7 @@
 // returned makes a task wait for another agent.
 func (c *Coordinator) returned(now time.Time, r *record, t *task, reason zinniasill.Reason, retry bool) {
 	c.releaseTask(t)
-	c.views.Returned(t.node)
+	c.views.Returned(now, t.node)
 	c.cfg.Counters.Inc(CounterRetried, reason)
 	r.setTask(t, taskReturn)
 	// A second return by the same agent backs off whatever the reason, since the
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -65,10 +66,7 @@
 
 // admit sets the deadline and, if this entry would refuse the job, the reason.
 func (c *Coordinator) admit(now time.Time, r *record, known bool) {
-	within := r.profile.AnswerWithin
-	if within == 0 {
-		within = defaultAnswerWithin
-	}
+	within := r.within()
 	r.deadline = now.Add(within)
 	r.refusal = c.refuses(now, r, known)
 	if r.refusal == "" {
@@ -83,6 +81,11 @@
 	r.deadline = now.Add(min(within, settleWithin))
 }
 
+// within is the time in which the job is to be answered.
+func (r *record) within() time.Duration {
+	return cmp.Or(r.profile.AnswerWithin, defaultAnswerWithin)
+}
+
 // countTasks counts the job's tasks against the quota of its team.
 func (c *Coordinator) countTasks(r *record) {
 	c.quotas.Remove(r.key.Team, r.quota)
@@ -117,7 +120,7 @@
 		Tasks:   tasks,
 		RunTime: c.times.Expect(r.profile),
 	}
-	if !estimate.Fits(r.profile.AnswerWithin) {
+	if !estimate.Fits(r.within()) {
 		return zinniasill.ReasonOverload
 	}
 	return ""
@@ -150,11 +153,7 @@
 }
 
 func (c *Coordinator) extendDeadline(now time.Time, r *record) {
-	within := r.profile.AnswerWithin
-	if within == 0 {
-		within = defaultAnswerWithin
-	}
-	r.deadline = now.Add(within)
+	r.deadline = now.Add(r.within())
 	c.timers.push(r, now.Add(claimPoll))
 }
 
--- a/core/job/term.go
+++ b/core/job/term.go
@@ -175,7 +175,7 @@
 
 // supersede ends the own term because another entry has taken the job over.
 func (c *Coordinator) supersede(r *record) {
-	c.cfg.Counters.Inc(CounterRefused, zinniasill.ReasonSuperseded)
+	c.cfg.Counters.Inc(CounterSuperseded, "")
 	r.ended = r.term
 	r.priors = append(r.priors, r.claim)
 	r.extending = false
--- a/core/placement/failing.go
+++ b/core/placement/failing.go
@@ -22,6 +22,8 @@
 	// probeEvery is the least time between two probes of a failing agent. Each probe
 	// that fails costs a caller its job.
 	probeEvery = 500 * time.Millisecond
+	// probeTimeout is the time after which a probe without an outcome is given up.
+	probeTimeout = 5 * time.Second
 )
 
 // record counts recent outcomes.
@@ -60,7 +62,6 @@
 	if a == nil {
 		return
 	}
-	a.probing = max(0, a.probing-1)
 	own := a.outcomes[profile.Name]
 	if own == nil {
 		own = &record{}
@@ -69,7 +70,6 @@
 	own.add(ok)
 	if ok {
 		a.Failing = false
-		a.probing = 0
 		own.failed = 0
 		return
 	}
@@ -81,9 +81,9 @@
 }
 
 // Returned ends a probe whose task did not start.
-func (v *Views) Returned(node zinniasill.Node) {
-	if a := v.agent(node); a != nil {
-		a.probing = max(0, a.probing-1)
+func (v *Views) Returned(now time.Time, node zinniasill.Node) {
+	if a := v.agent(node); a != nil && a.Failing {
+		a.probeAt = now.Add(probeEvery)
 	}
 }
 
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -79,20 +79,34 @@
 	return max(minShare, float64(age)/float64(SlowStart))
 }
 
+// staleAfter is the age from which a report is checked against the work that it
+// announced. Agents report with every answer, but only to the entry that asks.
+const staleAfter = 200 * time.Millisecond
+
+// inUse estimates the slots in use and the work that waits or runs. Work that
+// should have been done since the report does not count, and neither do the slots
+// of a report whose work should all be done.
+func inUse(now time.Time, agent *zinniasill.AgentView) (tasks int, work time.Duration) {
+	tasks = agent.Busy + agent.Queued
+	work = agent.QueuedWork + agent.RunningWork
+	if !agent.Reported.IsZero() {
+		age := now.Sub(agent.Reported)
+		work = max(0, work-age*time.Duration(max(agent.Slots, 1)))
+		if work == 0 && age > staleAfter {
+			tasks = 0
+		}
+	}
+	return tasks + agent.Unanswered, work + agent.UnansweredWork
+}
+
 // score orders agents: below 1 it is the part of the slots in use, from 1 on it
-// is 1 plus the seconds until a slot is free for one more task. Reported work
-// that should have been done since the report does not count.
+// is 1 plus the seconds until a slot is free for one more task.
 func score(now time.Time, agent *zinniasill.AgentView) float64 {
 	slots := max(agent.Slots, 1)
-	inUse := agent.Busy + agent.Queued + agent.Unanswered
-	if inUse < slots {
-		return float64(inUse) / float64(slots)
-	}
-	work := agent.QueuedWork + agent.RunningWork
-	if !agent.Reported.IsZero() {
-		work -= now.Sub(agent.Reported) * time.Duration(slots)
+	tasks, work := inUse(now, agent)
+	if tasks < slots {
+		return float64(tasks) / float64(slots)
 	}
-	work = max(work, 0) + agent.UnansweredWork
 	return 1 + work.Seconds()/float64(slots)
 }
 
--- a/core/placement/views.go
+++ b/core/placement/views.go
@@ -62,9 +62,7 @@
 	entry    catalog.NodeEntry
 	serving  bool
 	outcomes map[zinniasill.ProfileName]*record
-	// probing counts the tasks placed while the agent was failing, and probeAt is
-	// the earliest time of the next one.
-	probing int
+	// probeAt is the earliest time of the next task while the agent is failing.
 	probeAt time.Time
 }
 
@@ -156,11 +154,21 @@
 	a.UnansweredWork += work
 }
 
-// Placed counts a task that was offered to an agent as a probe if the agent is
-// failing.
-func (v *Views) Placed(node zinniasill.Node) {
+// Answered ends the count of tasks that were counted with Offered.
+func (v *Views) Answered(node zinniasill.Node, tasks int, work time.Duration) {
+	a := v.agent(node)
+	if a == nil {
+		return
+	}
+	a.Unanswered = max(0, a.Unanswered-tasks)
+	a.UnansweredWork = max(0, a.UnansweredWork-work)
+}
+
+// Placed tells that a task was offered to an agent. A failing agent gets no other
+// until the outcome is known. The bound keeps a lost outcome from ending the probes.
+func (v *Views) Placed(now time.Time, node zinniasill.Node) {
 	if a := v.agent(node); a != nil && a.Failing {
-		a.probing++
+		a.probeAt = now.Add(probeTimeout)
 	}
 }
 
@@ -171,17 +179,7 @@
 	if a == nil || !a.serving {
 		return false
 	}
-	return !a.Failing || a.probing == 0 && !now.Before(a.probeAt)
-}
-
-// Answered ends the count of tasks that were counted with Offered.
-func (v *Views) Answered(node zinniasill.Node, tasks int, work time.Duration) {
-	a := v.agent(node)
-	if a == nil {
-		return
-	}
-	a.Unanswered = max(0, a.Unanswered-tasks)
-	a.UnansweredWork = max(0, a.UnansweredWork-work)
+	return !a.Failing || !now.Before(a.probeAt)
 }
 
 // Pick chooses an agent for one task. It returns false when no agent is eligible
@@ -226,7 +224,8 @@
 	g.totals = Totals{Agents: len(g.agents)}
 	for _, a := range g.agents {
 		g.totals.Slots += a.Slots
-		g.totals.Free += max(0, a.Slots-a.Busy-a.Queued-a.Unanswered)
+		tasks, _ := inUse(now, a)
+		g.totals.Free += max(0, a.Slots-tasks)
 		work := a.QueuedWork + a.UnansweredWork
 		if !a.Reported.IsZero() {
 			work -= now.Sub(a.Reported) * time.Duration(a.Slots)
