--- a/core/job/fence.go
+++ b/core/job/fence.go
@@ -128,6 +128,9 @@
 		return now
 	}
 	c.checkFences(now, r)
+	if r.done() {
+		return now
+	}
 	if r.state == stateFencing && !now.Before(r.resendAt) {
 		c.sendFences(now, r)
 	}
@@ -141,7 +144,7 @@
 		// The proposal in progress finds the later owner.
 		return
 	}
-	c.supersede(now, r)
+	c.supersede(r)
 	c.claimTerm(now, r, r.term+1)
 }
 
--- a/core/job/status.go
+++ b/core/job/status.go
@@ -68,12 +68,14 @@
 		r.setTask(t, taskClose)
 		return false
 	}
-	if reason == zinniasill.ReasonSuperseded {
+	if reason == zinniasill.ReasonSuperseded && t.term == r.term {
 		return true
 	}
-	// A task that is returned because its agent leaves is moved, not retried: its
-	// new place costs no more work than the old one.
-	moved := reason == zinniasill.ReasonDomainOut || reason == zinniasill.ReasonLeaving
+	// A task that is returned because its agent leaves, or because this owner
+	// claimed a later term itself, is moved and not retried: its new place costs no
+	// more work than the old one.
+	moved := reason == zinniasill.ReasonDomainOut || reason == zinniasill.ReasonLeaving ||
+		reason == zinniasill.ReasonSuperseded
 	c.returned(now, r, t, reason, !moved)
 	return false
 }
@@ -81,7 +83,7 @@
 // returned makes a task wait for another agent.
 func (c *Coordinator) returned(now time.Time, r *record, t *task, reason zinniasill.Reason, retry bool) {
 	c.releaseTask(t)
-	c.views.Returned(t.node)
+	c.views.Returned(now, t.node)
 	c.cfg.Counters.Inc(CounterRetried, reason)
 	r.setTask(t, taskReturn)
 	// A second return by the same agent backs off whatever the reason, since the
@@ -115,6 +117,8 @@
 	if !r.setTask(t, event) {
 		return
 	}
+	// An agent keeps the record of a task longer than its output.
+	r.evicted = r.evicted || outcome.OK && status.Reason == zinniasill.ReasonAnswerEvicted
 	t.node = from
 	t.output = outcome.Output
 	t.err = outcome.Error
@@ -150,7 +154,11 @@
 		c.send(from, message.Grant{Key: body.Key, Term: body.Term, Tasks: granted})
 	}
 	if len(refused) > 0 {
-		c.send(from, message.Withdraw{Key: body.Key, Term: body.Term, Tasks: refused})
+		withdraw := message.Withdraw{Key: body.Key, Term: body.Term, Tasks: refused}
+		if r != nil {
+			withdraw.Epoch = r.epoch
+		}
+		c.send(from, withdraw)
 	}
 }
 
@@ -193,6 +201,8 @@
 	switch {
 	case r.counts[taskFailed] > 0:
 		c.close(now, r, zinniasill.ReasonTaskFailed, r.firstError())
+	case r.evicted:
+		c.close(now, r, zinniasill.ReasonAnswerEvicted, "a task ran and its output is no longer kept")
 	case r.counts[taskUnknown] > 0:
 		c.close(now, r, zinniasill.ReasonOutcomeUnknown, "an agent was lost and may have started a task")
 	case r.counts[taskFinished] == len(r.tasks):
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,13 +25,13 @@
 	}
 	cat := c.cfg.Lease.Catalog()
 	profile, known := cat.Profiles[sub.Profile]
-	if sub.Stamp != 0 && len(cat.Epochs) > 0 && sub.Stamp < cat.Epochs[0].Number {
+	if expired(cat, sub.Stamp) {
 		c.reply(id, keyExpired(profile))
 		return
 	}
 	c.sequence++
-	r := &record{key: sub.Key, digest: sub.Digest, stamp: sub.Stamp, payloads: sub.Payloads, sequence: c.sequence}
-	r.profile = profile
+	r := &record{key: sub.Key, digest: sub.Digest, sequence: c.sequence, claims: c.claims}
+	r.work = &work{stamp: sub.Stamp, payloads: sub.Payloads, profile: profile}
 	if !known {
 		r.profile = catalog.Profile{Name: sub.Profile}
 	}
@@ -65,10 +66,7 @@
 
 // admit sets the deadline and, if this entry would refuse the job, the reason.
 func (c *Coordinator) admit(now time.Time, r *record, known bool) {
-	within := r.profile.AnswerWithin
-	if within == 0 {
-		within = defaultAnswerWithin
-	}
+	within := r.within()
 	r.deadline = now.Add(within)
 	r.refusal = c.refuses(now, r, known)
 	if r.refusal == "" {
@@ -83,6 +81,11 @@
 	r.deadline = now.Add(min(within, settleWithin))
 }
 
+// within is the time in which the job is to be answered.
+func (r *record) within() time.Duration {
+	return cmp.Or(r.profile.AnswerWithin, defaultAnswerWithin)
+}
+
 // countTasks counts the job's tasks against the quota of its team.
 func (c *Coordinator) countTasks(r *record) {
 	c.quotas.Remove(r.key.Team, r.quota)
@@ -117,7 +120,7 @@
 		Tasks:   tasks,
 		RunTime: c.times.Expect(r.profile),
 	}
-	if !estimate.Fits(r.profile.AnswerWithin) {
+	if !estimate.Fits(r.within()) {
 		return zinniasill.ReasonOverload
 	}
 	return ""
@@ -150,11 +153,7 @@
 }
 
 func (c *Coordinator) extendDeadline(now time.Time, r *record) {
-	within := r.profile.AnswerWithin
-	if within == 0 {
-		within = defaultAnswerWithin
-	}
-	r.deadline = now.Add(within)
+	r.deadline = now.Add(r.within())
 	c.timers.push(r, now.Add(claimPoll))
 }
 
@@ -164,11 +163,7 @@
 	profile, known := cat.Profiles[sub.Profile]
 	r.answer = nil
 	r.reopens = false
-	r.closing = ""
-	r.cancelled = false
-	r.payloads = sub.Payloads
-	r.tasks = nil
-	r.profile = profile
+	r.work = &work{stamp: sub.Stamp, payloads: sub.Payloads, profile: profile, priors: r.priors}
 	if !known {
 		r.profile = catalog.Profile{Name: sub.Profile}
 	}
@@ -218,7 +213,7 @@
 type Status struct {
 	Known bool
 	State string
-	// Tasks and Finished count the tasks of a job that this entry owns.
+	// Tasks and Finished count the tasks of a job that is in progress here.
 	Tasks    int
 	Finished int
 	// Answer is nil while the job is in progress.
@@ -232,11 +227,10 @@
 	if r == nil {
 		return Status{}
 	}
-	return Status{
-		Known:    true,
-		State:    r.state.String(),
-		Tasks:    len(r.tasks),
-		Finished: r.counts[taskFinished] + r.counts[taskFailed],
-		Answer:   r.answer,
+	status := Status{Known: true, State: r.state.String(), Answer: r.answer}
+	if r.answer == nil {
+		status.Tasks = len(r.tasks)
+		status.Finished = r.counts[taskFinished] + r.counts[taskFailed]
 	}
+	return status
 }
