Interpret the state charts of jobs and tasks

Cause: the states of jobs and tasks must follow charts in files.

Change: job.chart.yaml and task.chart.yaml are loaded by core/chart and compiled into tables by number at the start. A test runs the coordinators against the state machine of core/agent.

--- a/core/job/chaos_test.go
+++ b/core/job/chaos_test.go
@@ -50,6 +50,12 @@
 		c.submitSome()
 	case pick < 85:
 		c.agents[c.draw(len(c.agents), "agent")].finish()
+	case pick < 86:
+		agent := c.agents[c.draw(len(c.agents), "agent")]
+		if agent.real != nil && !agent.dead {
+			agent.real.lease.version = len(c.versions) - 1
+			agent.real.tick()
+		}
 	case pick < 88:
 		c.entries[c.draw(len(c.entries), "entry")].lease.version = len(c.versions) - 1
 	case pick < 93:
--- a/core/job/chart.go
+++ b/core/job/chart.go
@@ -1,5 +1,45 @@
 package job
 
+import (
+	_ "embed"
+
+	"zinniasill/core/chart"
+)
+
+//go:embed job.chart.yaml
+var jobChartFile []byte
+
+//go:embed task.chart.yaml
+var taskChartFile []byte
+
+// none marks an event that a state does not have.
+const none = 0xff
+
+// table is a chart with its states and events as numbers. The states of 37,000
+// tasks/s change several times each, which makes look-ups by name too slow.
+type table [][]uint8
+
+// compile loads a chart whose states and events are numbered by their positions
+// in the lists of names.
+func compile(name string, file []byte, states []chart.State, events []chart.Event) table {
+	loaded := chart.MustLoad(name, file, chart.Expected{States: states, Events: events})
+	number := map[chart.State]uint8{}
+	for i, s := range states {
+		number[s] = uint8(i)
+	}
+	t := make(table, len(states))
+	for i, s := range states {
+		t[i] = make([]uint8, len(events))
+		for j, e := range events {
+			t[i][j] = none
+			if next, err := loaded.Next(s, e); err == nil {
+				t[i][j] = number[next]
+			}
+		}
+	}
+	return t
+}
+
 // state is the state of a job.
 type state uint8
 
@@ -17,11 +57,13 @@
 	stateGone
 )
 
+var stateNames = []chart.State{
+	"claiming", "refusing", "attached", "fencing", "placing", "running", "closing", "complete", "failed", "gone",
+}
+
 // String returns the name of the state in the state chart.
 func (s state) String() string {
-	return [...]string{
-		"claiming", "refusing", "attached", "fencing", "placing", "running", "closing", "complete", "failed", "gone",
-	}[s]
+	return string(stateNames[s])
 }
 
 // event moves a job to another state.
@@ -42,42 +84,21 @@
 	eventDrop
 )
 
-// transitions is the state chart of a job.
-var transitions = map[state]map[event]state{
-	stateRefusing: {eventJoin: stateClaiming, eventClaim: stateClaiming, eventFail: stateFailed, eventDrop: stateGone},
-	stateClaiming: {
-		eventRefuse: stateRefusing, eventClaim: stateClaiming, eventAttach: stateAttached, eventFence: stateFencing, eventPlace: statePlacing,
-		eventClose: stateClosing, eventFail: stateFailed, eventDrop: stateGone,
-	},
-	stateAttached: {
-		eventClaim: stateClaiming, eventComplete: stateComplete, eventFail: stateFailed, eventDrop: stateGone,
-	},
-	stateFencing: {
-		eventClaim: stateClaiming, eventPlace: statePlacing, eventClose: stateClosing,
-		eventComplete: stateComplete, eventFail: stateFailed,
-	},
-	statePlacing: {
-		eventClaim: stateClaiming, eventPlace: statePlacing, eventPlaced: stateRunning, eventClose: stateClosing,
-		eventComplete: stateComplete, eventFail: stateFailed,
-	},
-	stateRunning: {
-		eventClaim: stateClaiming, eventPlace: statePlacing, eventPlaced: stateRunning, eventClose: stateClosing,
-		eventComplete: stateComplete, eventFail: stateFailed,
-	},
-	stateClosing:  {eventClaim: stateClaiming, eventFail: stateFailed},
-	stateFailed:   {eventClaim: stateClaiming},
-	stateComplete: {},
+var eventNames = []chart.Event{
+	"refuse", "join", "claim", "attach", "fence", "place", "placed", "close", "complete", "fail", "drop",
 }
 
+var jobChart = compile("job.chart.yaml", jobChartFile, stateNames, eventNames)
+
 // move applies an event. An event that the chart does not have is a fault of this
 // package; the state then stays.
 func (c *Coordinator) move(r *record, e event) bool {
-	next, ok := transitions[r.state][e]
-	if !ok {
+	next := jobChart[r.state][e]
+	if next == none {
 		c.cfg.Counters.Inc(CounterUnexpected, "job")
 		return false
 	}
-	r.state = next
+	r.state = state(next)
 	return true
 }
 
@@ -114,26 +135,12 @@
 	taskClose
 )
 
-// taskTransitions is the state chart of a task at the owner of its job. A task
-// leaves offered and granted backwards only when the agent says that the attempt
-// has not started and never will; queued tasks start only after a grant.
-var taskTransitions = map[taskState]map[taskEvent]taskState{
-	taskWaiting: {
-		taskOffer: taskOffered, taskStart: taskRunning, taskFinish: taskFinished, taskFail: taskFailed,
-		taskLose: taskUnknown, taskClose: taskClosed,
-	},
-	taskOffered: {
-		taskQueue: taskQueued, taskGrant: taskGranted, taskStart: taskRunning, taskFinish: taskFinished, taskFail: taskFailed,
-		taskReturn: taskWaiting, taskLose: taskUnknown, taskClose: taskClosed,
-	},
-	taskQueued: {
-		taskGrant: taskGranted, taskStart: taskRunning, taskFinish: taskFinished, taskFail: taskFailed,
-		taskReturn: taskWaiting, taskClose: taskClosed,
-	},
-	taskGranted: {
-		taskStart: taskRunning, taskFinish: taskFinished, taskFail: taskFailed,
-		taskReturn: taskWaiting, taskLose: taskUnknown, taskClose: taskClosed,
-	},
-	taskRunning: {taskFinish: taskFinished, taskFail: taskFailed, taskLose: taskUnknown},
-	taskClosed:  {taskStart: taskRunning, taskFinish: taskFinished, taskFail: taskFailed},
+var taskStateNames = []chart.State{
+	"waiting", "offered", "queued", "granted", "running", "finished", "failed", "unknown", "closed",
+}
+
+var taskEventNames = []chart.Event{
+	"offer", "queue", "grant", "start", "finish", "fail", "return", "lose", "close",
 }
+
+var taskChart = compile("task.chart.yaml", taskChartFile, taskStateNames, taskEventNames)
--- a/core/job/fake_test.go
+++ b/core/job/fake_test.go
@@ -38,8 +38,10 @@
 	order    []attemptKey
 	attempts map[attemptKey]*attemptState
 	fences   map[zinniasill.Key]zinniasill.Term
-	started  func(key zinniasill.Key, index zinniasill.TaskIndex)
-	send     func(from, to zinniasill.Node, body any)
+	// real, if set, is used instead of the naive records.
+	real    *realAgent
+	started func(key zinniasill.Key, index zinniasill.TaskIndex)
+	send    func(from, to zinniasill.Node, body any)
 }
 
 func newFakeAgent(node zinniasill.Node, slots int) *fakeAgent {
@@ -87,6 +89,10 @@
 }
 
 func (a *fakeAgent) receive(from zinniasill.Node, body any) {
+	if a.real != nil {
+		a.real.receive(from, a.node, body)
+		return
+	}
 	if reply, ok := a.acceptor.Answer(body); ok {
 		a.send(a.node, from, reply)
 		return
@@ -111,7 +117,10 @@
 
 // read returns the agent's state of a register.
 func (a *fakeAgent) read(register message.Register) message.ClaimReply {
-	return a.acceptor.Read(message.ClaimRead{Register: register})
+	if a.real == nil {
+		return a.acceptor.Read(message.ClaimRead{Register: register})
+	}
+	return a.real.read(a.node, register)
 }
 
 func (a *fakeAgent) offer(from zinniasill.Node, b message.Offer) {
@@ -200,6 +209,11 @@
 // takeOut makes the agent return its queued tasks and refuse new ones.
 func (a *fakeAgent) takeOut(out bool) {
 	a.out = out
+	if a.real != nil {
+		a.real.lease.version = len(a.real.world.versions) - 1
+		a.real.tick()
+		return
+	}
 	for _, at := range a.order {
 		if s := a.attempts[at]; out && s.state == message.TaskQueued {
 			s.state = message.TaskClosed
@@ -211,6 +225,11 @@
 
 // finish ends the oldest running task and asks for queued ones.
 func (a *fakeAgent) finish() {
+	if a.real != nil {
+		a.real.finishOne(a.fails)
+		a.real.tick()
+		return
+	}
 	for _, at := range a.order {
 		if s := a.attempts[at]; s.state == message.TaskRunning {
 			s.state = message.TaskFinished
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -136,13 +136,13 @@
 
 // setTask moves a task to another state and keeps the counts.
 func (r *record) setTask(t *task, event taskEvent) bool {
-	next, ok := taskTransitions[t.state][event]
-	if !ok {
+	next := taskChart[t.state][event]
+	if next == none {
 		return false
 	}
 	r.counts[t.state]--
 	r.counts[next]++
-	t.state = next
+	t.state = taskState(next)
 	return true
 }
 
