Run the whole path as separate processes, with a demonstration

Cause: the parts existed but no process served a job from end to end.

Change: io/node runs control, entry and agent as processes; io/endpoint speaks to the endpoint; the zinniasill program has the subcommands for roles, operators and callers; internal/localcluster starts a cluster on loopback and cmd/demo shows it. Ports drawn from the range of outgoing connections were ruled out: an agent found its port taken by a connection of another process.

--- /dev/null
+++ b/internal/localcluster/process.go
@@ -0,0 +1,136 @@
+package localcluster
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Process is one process of the system that can be stopped and started again with
+// the same arguments.
+type Process struct {
+	Name string
+	// Metrics and HTTP are the addresses of its interfaces.
+	Metrics, HTTP string
+
+	binary string
+	args   []string
+	log    *syncBuffer
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// syncBuffer collects the log of a process.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.binary, p.args...)
+	cmd.Stdout = p.log
+	cmd.Stderr = p.log
+	if err := cmd.Start(); err != nil {
+		return eris.Wrapf(err, "start %s", p.Name)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = cmd.Wait() // the exit state is in cmd.ProcessState
+	}()
+	p.cmd = cmd
+	p.done = done
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(signal)
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.Done()
+}
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// ExitCode returns the exit code of a process that has ended.
+func (p *Process) ExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// PID returns the id of the process.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// Terminate asks the process to stop gracefully and waits until ctx ends.
+func (p *Process) Terminate(ctx context.Context) error {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.Done():
+		return nil
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "wait for %s to stop", p.Name)
+	}
+}
+
+// Log returns what the process has logged so far.
+func (p *Process) Log() string {
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	return p.log.buf.String()
+}
+
+// Poll calls check until it returns true or ctx ends.
+func Poll(ctx context.Context, what string, check func() bool) error {
+	ticker := time.NewTicker(pollPeriod)
+	defer ticker.Stop()
+	for !check() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "wait for %s", what)
+		}
+	}
+	return nil
+}
+
+const pollPeriod = 20 * time.Millisecond
+
+func removeAll(path string) error {
+	return eris.Wrapf(os.RemoveAll(path), "empty %s", path)
+}
--- /dev/null
+++ b/io/endpoint/endpoint.go
@@ -0,0 +1,203 @@
+// Package endpoint is the HTTP interface towards the endpoint beside an agent.
+//
+// The endpoint announces itself with PUT /v1/endpoint about every second; the
+// agent runs a task by POST {url}/run:
+//
+//	beside := endpoint.New(endpoint.Config{Clock: clock, Counters: counters, Changed: changed})
+//	http.Serve(listener, beside.Handler())
+//	outcome := beside.Run(ctx, task)
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"zinniasill"
+	"zinniasill/core/control"
+)
+
+const (
+	// Expiry is the time without an announcement after which an endpoint is
+	// considered gone.
+	Expiry = 3 * time.Second
+	// MaxOutput bounds the output of a task in bytes.
+	MaxOutput       = 1 << 20
+	maxAnnouncement = 16 << 10
+	maxSlots        = 100_000
+	connectTimeout  = time.Second
+)
+
+// CounterRuns counts runs that ended without a usable answer, by reason.
+const CounterRuns = "endpoint_runs_failed"
+
+const (
+	reasonNoAnswer   zinniasill.Reason = "no-answer"
+	reasonCrossed    zinniasill.Reason = "crossed-answer"
+	reasonTooLarge   zinniasill.Reason = "answer-too-large"
+	reasonIncomplete zinniasill.Reason = "answer-incomplete"
+)
+
+// Announcement is what an endpoint tells about itself.
+type Announcement struct {
+	URL   string            `json:"url"`
+	Slots int               `json:"slots"`
+	Kinds []zinniasill.Kind `json:"kinds"`
+	// State is serving or leaving.
+	State string `json:"state"`
+}
+
+// Config configures an Endpoint. All fields are required.
+type Config struct {
+	Clock    zinniasill.Clock
+	Counters zinniasill.Counters
+	// Changed is called when the announced state changed. It must not block.
+	Changed func(Announcement)
+}
+
+// Endpoint is the endpoint beside an agent. Use New.
+type Endpoint struct {
+	cfg    Config
+	client *http.Client
+
+	mu    sync.Mutex
+	known Announcement
+	heard time.Time
+}
+
+// New returns an endpoint that has not announced itself.
+func New(cfg Config) *Endpoint {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxSlots,
+		DisableCompression:  true,
+	}
+	return &Endpoint{cfg: cfg, client: &http.Client{
+		Transport: transport,
+		// A redirect could start the task a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Handler serves the announcements of the endpoint.
+func (e *Endpoint) Handler() http.Handler {
+	router := httprouter.New()
+	router.PUT("/v1/endpoint", e.announce)
+	return router
+}
+
+func (e *Endpoint) announce(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var body Announcement
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if problems := body.check(); len(problems) > 0 {
+		http.Error(w, "announcement: "+strings.Join(problems, "; "), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	changed := !body.equal(e.known)
+	e.known = body
+	e.heard = e.cfg.Clock.Now()
+	e.mu.Unlock()
+	if changed {
+		e.cfg.Changed(body)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a Announcement) check() []string {
+	var problems []string
+	if parsed, err := url.Parse(a.URL); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		problems = append(problems, fmt.Sprintf("url: %q is not of the form http://ip:port", a.URL))
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		problems = append(problems, fmt.Sprintf("slots: %d is not between 1 and %d", a.Slots, maxSlots))
+	}
+	if len(a.Kinds) == 0 {
+		problems = append(problems, "kinds: at least one is required")
+	}
+	for _, kind := range a.Kinds {
+		if !control.ValidName(string(kind)) {
+			problems = append(problems, fmt.Sprintf("kinds: %q is not a valid name", kind))
+		}
+	}
+	if a.State != "serving" && a.State != "leaving" {
+		problems = append(problems, fmt.Sprintf("state: %q is neither serving nor leaving", a.State))
+	}
+	return problems
+}
+
+func (a Announcement) equal(other Announcement) bool {
+	return a.URL == other.URL && a.Slots == other.Slots && a.State == other.State &&
+		fmt.Sprint(a.Kinds) == fmt.Sprint(other.Kinds)
+}
+
+// Expire forgets an endpoint that has not announced itself for Expiry and calls
+// Changed with the zero Announcement.
+func (e *Endpoint) Expire(now time.Time) {
+	e.mu.Lock()
+	gone := e.known.Slots > 0 && now.Sub(e.heard) >= Expiry
+	if gone {
+		e.known = Announcement{}
+	}
+	e.mu.Unlock()
+	if gone {
+		e.cfg.Changed(Announcement{})
+	}
+}
+
+// Run implements zinniasill.Runner. A failure to get a whole answer is RanUnknown:
+// the request may have reached the endpoint.
+func (e *Endpoint) Run(ctx context.Context, task zinniasill.Task) zinniasill.Outcome {
+	e.mu.Lock()
+	base := e.known.URL
+	e.mu.Unlock()
+	id := task.Key.String() + "/" + strconv.FormatUint(uint64(task.Index), 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/run", bytes.NewReader(task.Payload))
+	if err != nil {
+		return e.failed(reasonNoAnswer, err.Error())
+	}
+	// Without GetBody the transport cannot send the request a second time.
+	request.GetBody = nil
+	request.Header.Set("Task-Id", id)
+	request.Header.Set("Profile", string(task.Profile))
+	response, err := e.client.Do(request)
+	if err != nil {
+		return e.failed(reasonNoAnswer, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	output, err := io.ReadAll(io.LimitReader(response.Body, MaxOutput+1))
+	switch {
+	case err != nil:
+		return e.failed(reasonIncomplete, err.Error())
+	case len(output) > MaxOutput:
+		return e.failed(reasonTooLarge, fmt.Sprintf("output is larger than %d bytes", MaxOutput))
+	case response.Header.Get("Task-Id") != id:
+		return e.failed(reasonCrossed, fmt.Sprintf("answer carries task id %q", response.Header.Get("Task-Id")))
+	case response.StatusCode != http.StatusOK:
+		text := fmt.Sprintf("status %d: %.200s", response.StatusCode, output)
+		return zinniasill.Outcome{Error: text, Ran: zinniasill.DidRun}
+	default:
+		return zinniasill.Outcome{OK: true, Output: output, Ran: zinniasill.DidRun}
+	}
+}
+
+func (e *Endpoint) failed(reason zinniasill.Reason, text string) zinniasill.Outcome {
+	e.cfg.Counters.Inc(CounterRuns, reason)
+	return zinniasill.Outcome{Error: string(reason) + ": " + text, Ran: zinniasill.RanUnknown}
+}
--- /dev/null
+++ b/io/node/agent.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"zinniasill"
+	"zinniasill/core/agent"
+	"zinniasill/core/catalog"
+	"zinniasill/core/message"
+	"zinniasill/io/daemon"
+	"zinniasill/io/endpoint"
+)
+
+// expireEvery is the time between two looks whether the endpoint is gone.
+const expireEvery = 100 * time.Millisecond
+
+// AgentConfig configures an Agent.
+type AgentConfig struct {
+	// Report is what the agent reports to control: id, domain and address.
+	Report   catalog.NodeEntry
+	Replicas []zinniasill.NodeID
+	Sender   daemon.Sender
+	Clock    zinniasill.Clock
+	Counters zinniasill.Counters
+	Log      logrus.FieldLogger
+}
+
+// Agent is the role beside an endpoint. Use NewAgent.
+type Agent struct {
+	cfg     AgentConfig
+	keeper  *Keeper
+	machine *agent.Agent
+	beside  *endpoint.Endpoint
+	loop    *daemon.Loop
+	runs    conc.WaitGroup
+	// life is the context of the present incarnation's runs; it is used on the
+	// loop's goroutine only.
+	life    context.Context //nolint:containedctx // The life of the runs that a step of the loop starts.
+	endLife context.CancelFunc
+}
+
+// NewAgent returns an agent that has not started.
+func NewAgent(cfg AgentConfig) *Agent {
+	cfg.Report.Role = catalog.RoleAgent
+	// The agent gets work only once its endpoint has announced itself.
+	cfg.Report.State = catalog.Leaving
+	a := &Agent{cfg: cfg}
+	a.keeper = NewKeeper(KeeperConfig{
+		Entry: cfg.Report, Replicas: cfg.Replicas, Sender: cfg.Sender,
+		Clock: cfg.Clock, Log: cfg.Log, Restarted: a.restarted,
+	})
+	a.machine = agent.New(agent.Config{
+		Self: a.keeper.Node(), Domain: cfg.Report.Domain, Lease: a.keeper, Counters: cfg.Counters,
+	})
+	a.beside = endpoint.New(endpoint.Config{Clock: cfg.Clock, Counters: cfg.Counters, Changed: a.announced})
+	a.loop = daemon.New(daemon.Config{
+		Machine: a.machine, Sender: cfg.Sender, Clock: cfg.Clock, After: a.startRuns,
+		Dropped: func() { cfg.Counters.Inc("mailbox_dropped", "") },
+	})
+	return a
+}
+
+// Keeper returns the keeper of the agent's lease.
+func (a *Agent) Keeper() *Keeper {
+	return a.keeper
+}
+
+// Handler returns the HTTP interface for the endpoint.
+func (a *Agent) Handler() http.Handler {
+	return a.beside.Handler()
+}
+
+// Start starts the agent's goroutines. The returned channel is closed when all
+// have ended, after ctx has ended.
+func (a *Agent) Start(ctx context.Context) <-chan struct{} {
+	a.life, a.endLife = context.WithCancel(ctx)
+	expired := make(chan struct{})
+	go func() {
+		defer close(expired)
+		a.watchEndpoint(ctx)
+	}()
+	runs := make(chan struct{})
+	ended := joined(a.keeper.Start(ctx), a.loop.Start(ctx), expired)
+	go func() {
+		defer close(runs)
+		<-ended
+		a.runs.Wait()
+	}()
+	return joined(ended, runs)
+}
+
+func (a *Agent) watchEndpoint(ctx context.Context) {
+	ticks, stop := a.cfg.Clock.NewTicker(expireEvery)
+	defer stop()
+	for {
+		select {
+		case <-ticks:
+			a.beside.Expire(a.cfg.Clock.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Deliver hands a message to the agent.
+func (a *Agent) Deliver(env message.Envelope) {
+	if _, ok := env.Body.(message.RenewReply); ok {
+		a.keeper.Deliver(env)
+		return
+	}
+	a.loop.Deliver(env)
+}
+
+// announced takes over a changed state of the endpoint.
+func (a *Agent) announced(state endpoint.Announcement) {
+	serving := state.State == "serving"
+	a.keeper.Report(func(entry *catalog.NodeEntry) {
+		entry.Slots = state.Slots
+		entry.Kinds = state.Kinds
+		entry.State = catalog.Leaving
+		if serving {
+			entry.State = catalog.Serving
+		}
+	})
+	a.cfg.Log.WithFields(logrus.Fields{"slots": state.Slots, "state": state.State}).Info("endpoint changed")
+	ctx, cancel := context.WithTimeout(context.Background(), restartTimeout)
+	defer cancel()
+	_ = a.loop.Do(ctx, func(now time.Time) { a.machine.SetEndpoint(now, state.Slots, state.Kinds, serving) })
+}
+
+// startRuns starts the tasks that the machine hands out, each on its goroutine.
+func (a *Agent) startRuns(now time.Time) {
+	for _, task := range a.machine.Runs(now) {
+		life := a.life
+		a.runs.Go(func() { a.run(life, task) })
+	}
+}
+
+func (a *Agent) run(life context.Context, task zinniasill.Task) {
+	outcome := a.beside.Run(life, task)
+	_ = a.loop.Do(life, func(now time.Time) {
+		if life.Err() == nil {
+			a.machine.Finished(now, task, outcome)
+		}
+	})
+}
+
+// restarted runs on the keeper's goroutine, so it only queues the restart.
+func (a *Agent) restarted(node zinniasill.Node) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), restartTimeout)
+		defer cancel()
+		_ = a.loop.Do(ctx, func(time.Time) {
+			a.endLife()
+			a.life, a.endLife = context.WithCancel(context.WithoutCancel(a.life))
+			a.machine.Restart(node)
+		})
+	}()
+}
+
+// Ready returns an error that says why the agent gets no work.
+func (a *Agent) Ready() error {
+	now := a.cfg.Clock.Now()
+	cat := a.keeper.Catalog()
+	entry, listed := cat.Nodes[a.cfg.Report.Node.ID]
+	switch {
+	case !a.keeper.Valid(now):
+		return eris.New("no valid lease from control")
+	case !listed || entry.Slots == 0:
+		return eris.New("no endpoint has announced itself")
+	case !cat.Serving(entry):
+		return eris.New("the endpoint is leaving or its failure domain is out of service")
+	default:
+		return nil
+	}
+}
+
+// Stop returns queued tasks, and waits until running ones have ended and their
+// results are acknowledged, or until ctx ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.keeper.Report(func(entry *catalog.NodeEntry) { entry.State = catalog.Leaving })
+	if err := a.loop.Do(ctx, a.machine.Leave); err != nil {
+		return err
+	}
+	return waitFor(ctx, a.cfg.Clock, a.loop, a.machine.Idle)
+}
--- /dev/null
+++ b/io/node/process.go
@@ -0,0 +1,243 @@
+// Package node runs the roles of the system as processes: the state machines of
+// zinniasill/core with their links, interfaces and goroutines.
+//
+//	process, err := node.New(node.Config{Settings: s, Role: settings.RoleEntry})
+//	if err != nil {
+//		return err
+//	}
+//	err = process.Run(ctx) // until ctx ends, then a graceful stop
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"zinniasill"
+	"zinniasill/core/consensus"
+	"zinniasill/core/control"
+	"zinniasill/core/message"
+	"zinniasill/io/daemon"
+	"zinniasill/io/metrics"
+	"zinniasill/io/peer"
+	"zinniasill/io/settings"
+)
+
+// role is what a process needs of each of its roles.
+type role interface {
+	Deliver(env message.Envelope)
+	Ready() error
+	// Stop ends the role's work gracefully; its goroutines end with their context.
+	Stop(ctx context.Context) error
+}
+
+// Config configures a Process.
+type Config struct {
+	Settings settings.Settings
+	Role     settings.Role
+	Log      *logrus.Logger
+}
+
+// Process is one process of the system. Use New.
+type Process struct {
+	cfg       Config
+	log       logrus.FieldLogger
+	clock     zinniasill.Clock
+	metrics   *metrics.Set
+	members   []consensus.Member
+	transport *peer.Transport
+	servers   []server
+	roles     []role
+	// start starts the goroutines of the roles.
+	start []func(ctx context.Context) <-chan error
+}
+
+// server is an HTTP server with its listener.
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+// newRand returns a source that differs between processes.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(NewIncarnation()), uint64(NewIncarnation())))
+}
+
+// messageTypes are the message types besides those of package message. Numbers
+// are never reused.
+func messageTypes() []peer.Type {
+	return []peer.Type{
+		{Number: 64, Sample: consensus.PreVote{}},
+		{Number: 65, Sample: consensus.PreVoteReply{}},
+		{Number: 66, Sample: consensus.Vote{}},
+		{Number: 67, Sample: consensus.VoteReply{}},
+		{Number: 68, Sample: consensus.Append{}},
+		{Number: 69, Sample: consensus.AppendReply{}},
+		{Number: 70, Sample: consensus.InstallSnapshot{}, Class: peer.Bulk},
+		{Number: 71, Sample: consensus.TimeoutNow{}},
+		{Number: 72, Sample: consensus.Forward{}},
+		{Number: 73, Sample: consensus.ForwardReply{}},
+		{Number: 74, Sample: consensus.ReadRequest{}},
+		{Number: 75, Sample: consensus.ReadReply{}},
+		{Number: 76, Sample: consensus.Hello{}},
+		{Number: 77, Sample: consensus.JoinRequest{}},
+		{Number: 78, Sample: consensus.JoinReply{}},
+		{Number: 79, Sample: control.Seen{}},
+	}
+}
+
+// listen opens a server for a handler. An empty address opens none.
+func (p *Process) listen(address string, serve *http.Server) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	p.servers = append(p.servers, server{Server: serve, listener: listener})
+	return nil
+}
+
+// Ready returns an error that says why the process should get no work.
+func (p *Process) Ready() error {
+	var problems []error
+	for _, r := range p.roles {
+		problems = append(problems, r.Ready())
+	}
+	return errors.Join(problems...)
+}
+
+// Run runs the process until ctx ends or a part of it fails, and then stops it
+// gracefully within the settings' time.
+func (p *Process) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	failed := make(chan error, len(p.servers)+len(p.start)+1)
+	var ends []<-chan error
+	ends = append(ends, p.transport.Start(life))
+	for _, start := range p.start {
+		ends = append(ends, start(life))
+	}
+	for _, end := range ends {
+		go func() { failed <- <-end }()
+	}
+	for _, s := range p.servers {
+		go func() {
+			if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- eris.Wrapf(err, "serve on %s", s.listener.Addr())
+			}
+		}()
+	}
+	p.log.Info("started")
+	var fault error
+	select {
+	case <-ctx.Done():
+		p.log.Info("stopping")
+		p.stop()
+	case fault = <-failed:
+		p.log.WithError(fault).Error("stopping after a fault")
+	}
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	end()
+	p.awaitEnds(ends)
+	p.log.Info("stopped")
+	return fault
+}
+
+// endTimeout bounds the wait for the goroutines of a process that ends.
+const endTimeout = 5 * time.Second
+
+func (p *Process) awaitEnds(ends []<-chan error) {
+	timer := time.NewTimer(endTimeout)
+	defer timer.Stop()
+	for _, end := range ends {
+		select {
+		case err := <-end:
+			if err != nil {
+				p.log.WithError(err).Warn("a part ended with an error")
+			}
+		case <-timer.C:
+			p.log.Warn("some goroutines have not ended in time")
+			return
+		}
+	}
+}
+
+// stop stops the roles gracefully. Requests in flight are answered before the
+// servers are closed.
+func (p *Process) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Settings.StopTimeout)
+	defer cancel()
+	for _, r := range p.roles {
+		if err := r.Stop(ctx); err != nil {
+			p.log.WithError(err).Warn("graceful stop was cut short")
+		}
+	}
+	for _, s := range p.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			p.log.WithError(err).Warn("requests in flight were cut")
+		}
+	}
+}
+
+// openTransport completes the configuration of the links and opens their listener.
+func (p *Process) openTransport(cfg peer.Config) error {
+	codec, err := peer.NewCodec(messageTypes()...)
+	if err != nil {
+		return err
+	}
+	cfg.Codec = codec
+	cfg.Listen = p.cfg.Settings.Listen
+	cfg.Advertise = p.cfg.Settings.Advertise
+	cfg.Clock = p.clock
+	cfg.Counters = p.metrics
+	cfg.Seed = uint64(NewIncarnation())
+	p.transport, err = peer.New(cfg)
+	return err
+}
+
+// address returns the address that peers reach this process at.
+func (p *Process) address() string {
+	if p.cfg.Settings.Advertise != "" {
+		return p.cfg.Settings.Advertise
+	}
+	return p.cfg.Settings.Listen
+}
+
+func (p *Process) memberAddress(id zinniasill.NodeID) (string, bool) {
+	for _, member := range p.members {
+		if member.Name == id {
+			return member.Address, true
+		}
+	}
+	return "", false
+}
+
+func (p *Process) memberNames() []zinniasill.NodeID {
+	names := make([]zinniasill.NodeID, len(p.members))
+	for i, member := range p.members {
+		names[i] = member.Name
+	}
+	return names
+}
+
+// lateSender lets roles be built before the transport that they send with.
+type lateSender struct {
+	process *Process
+}
+
+// Send implements daemon.Sender.
+func (s lateSender) Send(env message.Envelope) {
+	s.process.transport.Send(env)
+}
+
+var _ daemon.Sender = lateSender{}
