--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -152,6 +152,14 @@
 	h.changed = true
 }
 
+// RenewSoon makes the next Tick send a renewal, but for MinGap after the last one.
+// A node calls it when it learns that its catalog is behind.
+func (h *Holder) RenewSoon() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changed = true
+}
+
 // Tick sends a renewal when one is due.
 func (h *Holder) Tick(now time.Time) {
 	h.mu.Lock()
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -159,3 +159,22 @@
 		t.Errorf("renewed as %+v", entry)
 	}
 }
+
+// TestRenewSoon guards against a node that knows its catalog to be behind and still
+// waits for the renewal period, and against renewals without a gap.
+func TestRenewSoon(t *testing.T) {
+	h := newHolder()
+	h.Tick(start)
+	h.Receive(start, reply(func(*message.Envelope, *message.RenewReply) {}))
+	h.Outbox()
+	h.RenewSoon()
+	h.Tick(start.Add(lease.MinGap / 2))
+	if out := h.Outbox(); len(out) != 0 {
+		t.Errorf("%d renewals before the gap", len(out))
+	}
+	h.Tick(start.Add(lease.MinGap))
+	h.Tick(start.Add(lease.MinGap * 2))
+	if out := h.Outbox(); len(out) != 1 {
+		t.Errorf("%d renewals, want 1", len(out))
+	}
+}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -89,6 +89,10 @@
 // Submit hands in a job and waits for its answer. When ctx ends first, the job
 // goes on and ctx's error is returned.
 func (e *Entry) Submit(ctx context.Context, sub message.Submission) (message.Answer, error) {
+	if sub.Stamp > e.Epoch() {
+		// Another entry has told the caller of a newer epoch. The job waits for it.
+		e.keeper.RenewSoon()
+	}
 	id := job.RequestID(e.last.Add(1))
 	answers := make(chan message.Answer, 1)
 	err := e.loop.Do(ctx, func(now time.Time) {
--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -106,6 +106,11 @@
 	return k.holder.Load().Catalog()
 }
 
+// RenewSoon renews the lease before its time, to learn of changes.
+func (k *Keeper) RenewSoon() {
+	k.holder.Load().RenewSoon()
+}
+
 // Report changes what the node reports about itself.
 func (k *Keeper) Report(change func(entry *catalog.NodeEntry)) {
 	entry := *k.report.Load()
