--- /dev/null
+++ b/io/operator/fuzz_test.go
@@ -0,0 +1,26 @@
+package operator_test
+
+import (
+	"testing"
+
+	"zinniasill/core/control"
+	"zinniasill/io/operator"
+)
+
+// FuzzParseProfile guards against a profile file that makes a program panic, or
+// that is accepted although control refuses its content.
+func FuzzParseProfile(f *testing.F) {
+	f.Add([]byte("name: proof\nkind: cards\nanswer-within: 2s\nexpected-run-time: 50ms\nrepeat: never\nmax-tasks: 10\n"))
+	f.Add([]byte(`{"name":"p","kind":"k","answer-within":"1s","expected-run-time":"1s","repeat":"resubmit","domains":["a","a"]}`))
+	f.Add([]byte("name: [1, 2]\n&a: *a"))
+	f.Add([]byte("\xff\x00"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		profile, err := operator.ParseProfile(data)
+		if err != nil {
+			return
+		}
+		if found := control.ValidateProfile(profile); len(found) > 0 {
+			t.Fatalf("accepted %+v with %v", profile, found)
+		}
+	})
+}
