Check the lease with a fresh clock reading before a task goes to its endpoint

Cause: reading io/node showed that the last check of the lease used the time at which the loop's step began. A process that is stopped in between (SIGSTOP, a paused VM) and continues later would start the task although its lease has ended. Using the report "did not run" for such a task showed a second fault: a late copy of that report closed the attempt of another agent, so that the task was offered a third time while the second agent could be running it.

Change: Runs gets a new clock reading, and the agent checks lease and failure domain again right before the request to the endpoint; a task that fails this check ends as not-run and is placed elsewhere. The owner takes such a report only from the agent that it last offered the task to. A check at the endpoint was ruled out: it speaks plain HTTP and knows no lease.

Conclusion: the window in which a stopped process can start a task late is now the one between the check and the write of the request.

--- a/core/job/status.go
+++ b/core/job/status.go
@@ -106,7 +106,10 @@
 		return
 	}
 	if outcome.Ran == zinniasill.NotRun && !outcome.OK {
-		c.closed(now, r, t, zinniasill.ReasonNoEndpoint)
+		// The report may be a late copy, while another agent has the task by now.
+		if t.node == from {
+			c.closed(now, r, t, zinniasill.ReasonNoEndpoint)
+		}
 		return
 	}
 	c.releaseTask(t)
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -134,16 +134,21 @@
 	_ = a.loop.Do(ctx, func(now time.Time) { a.machine.SetEndpoint(now, state.Slots, state.Kinds, serving) })
 }
 
-// startRuns starts the tasks that the machine hands out, each on its goroutine.
-func (a *Agent) startRuns(now time.Time) {
-	for _, task := range a.machine.Runs(now) {
+// startRuns starts the tasks that the machine hands out, each on its goroutine. The
+// clock is read again: a process that was stopped since the step began would
+// otherwise judge its lease by the time before the stop.
+func (a *Agent) startRuns(time.Time) {
+	for _, task := range a.machine.Runs(a.cfg.Clock.Now()) {
 		life := a.life
 		a.runs.Go(func() { a.run(life, task) })
 	}
 }
 
 func (a *Agent) run(life context.Context, task zinniasill.Task) {
-	outcome := a.beside.Run(life, task)
+	outcome := zinniasill.Outcome{Error: "the agent may not start tasks any more", Ran: zinniasill.NotRun}
+	if a.mayStart() {
+		outcome = a.beside.Run(life, task)
+	}
 	_ = a.loop.Do(life, func(now time.Time) {
 		if life.Err() == nil {
 			a.machine.Finished(now, task, outcome)
@@ -151,6 +156,13 @@
 	})
 }
 
+// mayStart checks the lease and the failure domain once more, as the last step
+// before a task goes to the endpoint.
+func (a *Agent) mayStart() bool {
+	valid := a.keeper.Valid(a.cfg.Clock.Now())
+	return valid && a.keeper.Catalog().DomainIn(a.cfg.Report.Domain)
+}
+
 // restarted runs on the keeper's goroutine, so it only queues the restart.
 func (a *Agent) restarted(node zinniasill.Node) {
 	go func() {
