Let the members of an epoch follow from the nodes of the catalog

Cause: a change with an epoch carried all members, about 46 KB for 1,400 agents, and a rolling restart could write one every 500 ms: 92 KB/s for each node against the limit of 26 KB/s, and 1,200 epochs in the retention window.

Change: the change carries the number only; every copy takes the agents that serve at that revision. From 16 retained epochs on, the gap between epochs grows to 12.5 s, so that about 64 are retained; a gap that grows with the member count was ruled out, because each retained epoch also costs every claim a look-up whatever its size. Lists and changes of earlier versions, with all members, are still read.

Also: the transport counts the bytes on its connections, in Stats and /metrics.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -137,19 +137,21 @@
 // EpochEntry is the list of agents of one epoch, sorted by node id.
 type EpochEntry struct {
 	Number  zinniasill.Epoch `cbor:"1,keyasint" json:"number"`
-	Members []EpochMember    `cbor:"2,keyasint" json:"members"`
+	Members []EpochMember    `cbor:"2,keyasint,omitempty" json:"members"`
 }
 
 // Change is one accepted change. Exactly one of the pointers is set; the Delete
 // fields name what is removed.
 type Change struct {
-	Revision   zinniasill.Revision    `cbor:"1,keyasint"`
-	Profile    *Profile               `cbor:"2,keyasint,omitempty"`
-	Domain     *DomainEntry           `cbor:"3,keyasint,omitempty"`
-	Endpoint   *EndpointEntry         `cbor:"4,keyasint,omitempty"`
-	Team       *TeamEntry             `cbor:"5,keyasint,omitempty"`
-	Node       *NodeEntry             `cbor:"6,keyasint,omitempty"`
-	DeadNode   *zinniasill.Node       `cbor:"7,keyasint,omitempty"`
+	Revision zinniasill.Revision `cbor:"1,keyasint"`
+	Profile  *Profile            `cbor:"2,keyasint,omitempty"`
+	Domain   *DomainEntry        `cbor:"3,keyasint,omitempty"`
+	Endpoint *EndpointEntry      `cbor:"4,keyasint,omitempty"`
+	Team     *TeamEntry          `cbor:"5,keyasint,omitempty"`
+	Node     *NodeEntry          `cbor:"6,keyasint,omitempty"`
+	DeadNode *zinniasill.Node    `cbor:"7,keyasint,omitempty"`
+	// Epoch without members stands for the agents that serve in the catalog that
+	// the change is applied to.
 	Epoch      *EpochEntry            `cbor:"8,keyasint,omitempty"`
 	DropEpochs zinniasill.Epoch       `cbor:"9,keyasint,omitempty"`
 	DropName   zinniasill.ProfileName `cbor:"10,keyasint,omitempty"`
@@ -166,7 +168,7 @@
 	Teams     map[zinniasill.Team]TeamEntry       `cbor:"5,keyasint"`
 	Nodes     map[zinniasill.NodeID]NodeEntry     `cbor:"6,keyasint"`
 	// Epochs are the epochs of the retention window, oldest first.
-	Epochs []EpochEntry `cbor:"7,keyasint"`
+	Epochs Epochs `cbor:"7,keyasint"`
 	// Hosts are the handovers of the retention window, by the stopped agent.
 	Hosts map[zinniasill.Node]HostEntry `cbor:"8,keyasint" json:"-"`
 }
@@ -200,7 +202,7 @@
 		Endpoints: maps.Clone(c.Endpoints),
 		Teams:     maps.Clone(c.Teams),
 		Nodes:     maps.Clone(c.Nodes),
-		Epochs:    append([]EpochEntry(nil), c.Epochs...),
+		Epochs:    slices.Clone(c.Epochs),
 		Hosts:     maps.Clone(c.Hosts),
 	}
 }
@@ -226,7 +228,7 @@
 	case change.DeadNode != nil:
 		c.removeNode(*change.DeadNode)
 	case change.Epoch != nil:
-		c.Epochs = append(c.Epochs[:len(c.Epochs):len(c.Epochs)], *change.Epoch)
+		c.addEpoch(*change.Epoch)
 	case change.DropEpochs != 0:
 		c.dropEpochs(change.DropEpochs)
 	case change.DropName != "":
--- a/core/control/duties.go
+++ b/core/control/duties.go
@@ -13,7 +13,7 @@
 	// DefaultDeadAfter is the time without a renewal after which an incarnation is
 	// declared dead.
 	DefaultDeadAfter = 3 * time.Second
-	// DefaultEpochGap is the least time between two epochs.
+	// DefaultEpochGap is the least time between two epochs while few are retained.
 	DefaultEpochGap = 500 * time.Millisecond
 	// DefaultEpochPeriod is the time after which an epoch ends without a change of
 	// the agents.
@@ -38,6 +38,15 @@
 	maxTickGap = time.Second
 )
 
+// The retained epochs cost every node memory and every claim a look-up in each of
+// them. A rolling restart with an epoch every 500 ms would leave 1,200. From
+// fastEpochs on, the gap between epochs grows so that about maxEpochs remain. An
+// ordinary day, with 370 restarts, needs about 6 in each retention window.
+const (
+	fastEpochs = 16
+	maxEpochs  = 64
+)
+
 // DutyConfig holds the times of the leader's duties. Zero values stand for the
 // defaults.
 type DutyConfig struct {
@@ -227,7 +236,7 @@
 }
 
 func (d *Duties) proposeEpoch(now time.Time, current *catalog.Catalog) {
-	if !d.proposed.IsZero() && now.Sub(d.proposed) < d.cfg.EpochGap {
+	if !d.proposed.IsZero() && now.Sub(d.proposed) < d.epochGap(len(current.Epochs)) {
 		return
 	}
 	members := d.machine.eligible()
@@ -244,6 +253,14 @@
 	d.propose(Command{Epoch: &NewEpoch{Number: current.CurrentEpoch() + 1}})
 }
 
+// epochGap returns the least time between two epochs when some are retained.
+func (d *Duties) epochGap(retained int) time.Duration {
+	if retained < fastEpochs {
+		return d.cfg.EpochGap
+	}
+	return max(d.cfg.EpochGap, d.cfg.Retention/(maxEpochs-fastEpochs))
+}
+
 func (d *Duties) proposeDrop(now time.Time, current *catalog.Catalog) {
 	var upTo zinniasill.Epoch
 	listed := map[zinniasill.Epoch]time.Time{}
--- a/core/control/execute.go
+++ b/core/control/execute.go
@@ -88,13 +88,12 @@
 }
 
 func (m *Machine) newEpoch(number zinniasill.Epoch) Result {
-	members := m.eligible()
 	// A claim group of no agents could not hold a claim, so the last epoch that
 	// has members stays in force.
-	if number != m.catalog.CurrentEpoch()+1 || len(members) == 0 {
+	if number != m.catalog.CurrentEpoch()+1 || len(m.eligible()) == 0 {
 		return Result{Code: CodeEpoch}
 	}
-	return m.accept(catalog.Change{Epoch: &catalog.EpochEntry{Number: number, Members: members}})
+	return m.accept(catalog.Change{Epoch: &catalog.EpochEntry{Number: number}})
 }
 
 func (m *Machine) dropEpochs(upTo zinniasill.Epoch) Result {
--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -232,19 +232,5 @@
 
 // eligible returns the agents that an epoch is made of, sorted by id.
 func (m *Machine) eligible() []catalog.EpochMember {
-	return Eligible(m.catalog)
-}
-
-// Eligible returns the agents of a catalog that serve, sorted by id.
-func Eligible(c *catalog.Catalog) []catalog.EpochMember {
-	var members []catalog.EpochMember
-	for _, node := range c.Nodes {
-		if node.Role == catalog.RoleAgent && c.Serving(node) {
-			members = append(members, catalog.EpochMember{Node: node.Node, Domain: node.Domain})
-		}
-	}
-	slices.SortFunc(members, func(a, b catalog.EpochMember) int {
-		return compareNodes(a.Node, b.Node)
-	})
-	return members
+	return m.catalog.Eligible()
 }
--- a/core/control/server_test.go
+++ b/core/control/server_test.go
@@ -191,6 +191,27 @@
 	}
 }
 
+// TestEpochsOfRollingRestart guards against a rolling restart that fills the
+// retention window: each epoch costs every node memory and every claim a look-up.
+func TestEpochsOfRollingRestart(t *testing.T) {
+	b := newBench(t)
+	entries := []catalog.NodeEntry{
+		testEntry(agentNode("a", 1), catalog.RoleAgent),
+		testEntry(agentNode("b", 1), catalog.RoleAgent),
+	}
+	most := 0
+	for range 1500 {
+		entries[0].State = catalog.Leaving
+		b.run(500*time.Millisecond, entries...)
+		entries[0].State = catalog.Serving
+		b.run(500*time.Millisecond, entries...)
+		most = max(most, len(b.server.machine.Catalog().Epochs))
+	}
+	if most < fastEpochs || most > maxEpochs+2 {
+		t.Errorf("at most %d epochs were retained, want %d to %d", most, fastEpochs, maxEpochs+2)
+	}
+}
+
 // TestReportedHandover guards against a planned stop whose records are not listed.
 func TestReportedHandover(t *testing.T) {
 	b := newBench(t)
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -202,7 +202,14 @@
 	cfg.Counters = p.metrics
 	cfg.Seed = uint64(NewIncarnation())
 	p.transport, err = peer.New(cfg)
-	return err
+	if err != nil {
+		return err
+	}
+	p.metrics.Gauge("peer_sent_bytes", func() float64 { return float64(p.transport.Stats().SentBytes) })
+	p.metrics.Gauge("peer_received_bytes", func() float64 { return float64(p.transport.Stats().ReceivedBytes) })
+	p.metrics.Gauge("peer_sent_envelopes", func() float64 { return float64(p.transport.Stats().Sent) })
+	p.metrics.Gauge("peer_received_envelopes", func() float64 { return float64(p.transport.Stats().Received) })
+	return nil
 }
 
 // address returns the address that peers reach this process at.
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -18,11 +18,17 @@
 	writeChunk = 256 << 10
 )
 
+// traffic counts the bytes of all connections of a transport.
+type traffic struct {
+	sent, received atomic.Uint64
+}
+
 // conn observes the traffic of one TCP connection, below TLS.
 type conn struct {
 	net.Conn
-	clock  zinniasill.Clock
-	opened time.Time
+	clock   zinniasill.Clock
+	opened  time.Time
+	traffic *traffic
 
 	// readAt and writeAt are nanoseconds since opened. writeAt is 0 while no write
 	// is in progress.
@@ -34,8 +40,8 @@
 	onPing func()
 }
 
-func newConn(raw net.Conn, clock zinniasill.Clock) *conn {
-	return &conn{Conn: raw, clock: clock, opened: clock.Now()}
+func newConn(raw net.Conn, clock zinniasill.Clock, counts *traffic) *conn {
+	return &conn{Conn: raw, clock: clock, opened: clock.Now(), traffic: counts}
 }
 
 // elapsed is at least 1, so that it differs from the 0 of an idle writer.
@@ -47,6 +53,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		c.traffic.received.Add(uint64(n))
 		c.readAt.Store(c.elapsed())
 	}
 	if !c.greeted.Load() && c.read.Add(int64(n)) > helloBudget {
@@ -63,6 +70,7 @@
 		c.writeAt.Store(c.elapsed())
 		n, err := c.Conn.Write(p[:min(len(p), writeChunk)])
 		written += n
+		c.traffic.sent.Add(uint64(max(n, 0)))
 		if err != nil {
 			return written, err
 		}
--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -83,7 +83,7 @@
 // serve receives on one accepted connection until it ends. It calls greeted once,
 // when the other side's hello was accepted or the connection has ended.
 func (t *Transport) serve(ctx context.Context, raw net.Conn, greeted func()) {
-	c := newConn(raw, t.cfg.Clock)
+	c := newConn(raw, t.cfg.Clock, &t.traffic)
 	if !t.track(ctx, c) {
 		greeted()
 		return
--- a/io/peer/outbound.go
+++ b/io/peer/outbound.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to peer %s", o.id)
 	}
-	c := newConn(raw, t.cfg.Clock)
+	c := newConn(raw, t.cfg.Clock, &t.traffic)
 	c.onPing = o.ping
 	if !t.track(ctx, c) {
 		return nil, eris.Wrap(ctx.Err(), "connect to a peer")
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -81,11 +81,14 @@
 	UnreachableAfter time.Duration
 }
 
-// Stats counts the traffic since the start.
+// Stats counts the traffic since the start: envelopes, frames, and the bytes on
+// TCP connections in both directions, those of TLS and pings included.
 type Stats struct {
-	Sent     uint64
-	Received uint64
-	Frames   uint64
+	Sent          uint64
+	Received      uint64
+	Frames        uint64
+	SentBytes     uint64
+	ReceivedBytes uint64
 }
 
 // Transport holds the links of one process. Use New.
@@ -104,6 +107,7 @@
 	conns  map[*conn]struct{}
 
 	sent, received, frames atomic.Uint64
+	traffic                traffic
 }
 
 // New checks the configuration and listens. It returns an error when a required
@@ -171,7 +175,10 @@
 
 // Stats returns the traffic so far.
 func (t *Transport) Stats() Stats {
-	return Stats{Sent: t.sent.Load(), Received: t.received.Load(), Frames: t.frames.Load()}
+	return Stats{
+		Sent: t.sent.Load(), Received: t.received.Load(), Frames: t.frames.Load(),
+		SentBytes: t.traffic.sent.Load(), ReceivedBytes: t.traffic.received.Load(),
+	}
 }
 
 // Start accepts and opens links until ctx ends. When all goroutines have ended,
