--- a/io/metrics/metrics.go
+++ b/io/metrics/metrics.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/julienschmidt/httprouter"
@@ -30,7 +31,7 @@
 
 // Inc implements zinniasill.Counters.
 func (s *Set) Inc(name string, reason zinniasill.Reason) {
-	full := prefix + name + "_total"
+	full := prefix + strings.TrimSuffix(name, "_total") + "_total"
 	if reason != "" {
 		full = fmt.Sprintf("%s{reason=%q}", full, string(reason))
 	}
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -27,6 +27,7 @@
 	reasonWrongNode   zinniasill.Reason = "wrong-node"
 	reasonNoHello     zinniasill.Reason = "no-hello"
 	reasonTLS         zinniasill.Reason = "tls"
+	reasonIdentity    zinniasill.Reason = "identity"
 	reasonTooMany     zinniasill.Reason = "too-many"
 )
 
@@ -44,6 +45,7 @@
 	reasonUnregistered   zinniasill.Reason = "unregistered"
 	reasonOversized      zinniasill.Reason = "oversized"
 	reasonForeignCluster zinniasill.Reason = "foreign-cluster"
+	reasonWrongSender    zinniasill.Reason = "wrong-sender"
 )
 
 // ProtocolError is the error for input that is not part of the protocol. The
--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -148,14 +148,17 @@
 	conn      *conn
 	manager   *drpcmanager.Manager
 	stream    *drpcstream.Stream
+	// checked is the node that the certificate names, empty without TLS.
+	checked zinniasill.NodeID
 }
 
 // greet accepts the stream and exchanges hellos.
 func (i *inbound) greet(ctx context.Context) error {
 	t := i.transport
 	link := wire{Reader: i.conn, Writer: i.conn, Closer: i.conn}
-	if t.cfg.TLS != nil {
-		secure := tls.Server(i.conn, t.cfg.TLS)
+	var secure *tls.Conn
+	if t.cfg.Security != nil {
+		secure = tls.Server(i.conn, t.cfg.Security.Server())
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return eris.Wrap(err, "TLS handshake with an accepted peer")
 		}
@@ -181,6 +184,12 @@
 	case in.hello.To != self.ID:
 		return &ProtocolError{Reason: reasonWrongNode, Message: "this is " + string(self.ID)}
 	}
+	if secure != nil {
+		if err := t.cfg.Security.CheckPeer(secure.ConnectionState(), in.hello.From.ID); err != nil {
+			return &ProtocolError{Reason: reasonIdentity, Message: err.Error()}
+		}
+		i.checked = in.hello.From.ID
+	}
 	t.learn(in.hello)
 	i.conn.greeted.Store(true)
 	answer := frame{kind: frameHello, hello: hello{
@@ -195,7 +204,7 @@
 // receive delivers envelopes and answers pings until the link ends.
 func (i *inbound) receive() error {
 	t := i.transport
-	in := frame{deliver: t.deliver}
+	in := frame{deliver: i.deliver}
 	pong := frame{kind: framePong}
 	for {
 		if err := i.stream.MsgRecv(&in, t.encoding); err != nil {
@@ -213,6 +222,16 @@
 	}
 }
 
+// deliver drops envelopes that carry another sender than the certificate of the
+// link, so that a node cannot pose as another.
+func (i *inbound) deliver(env message.Envelope) {
+	if i.checked != "" && env.From.ID != i.checked {
+		i.transport.drop(reasonWrongSender)
+		return
+	}
+	i.transport.deliver(env)
+}
+
 // deliver hands on an envelope of this cluster. A process that has not joined a
 // cluster, and the messages it sends, have an empty id.
 func (t *Transport) deliver(env message.Envelope) {
--- a/io/peer/outbound.go
+++ b/io/peer/outbound.go
@@ -88,8 +88,8 @@
 	defer t.forget(c)
 	defer func() { _ = c.Close() }()
 	link := wire{Reader: c, Writer: c, Closer: c}
-	if t.cfg.TLS != nil {
-		secure := tls.Client(c, clientTLS(t.cfg.TLS, address))
+	if t.cfg.Security != nil {
+		secure := tls.Client(c, t.cfg.Security.Client(o.id))
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return false, eris.Wrapf(err, "TLS handshake with peer %s at %s", o.id, address)
 		}
@@ -121,19 +121,6 @@
 	return c, nil
 }
 
-// clientTLS returns the configuration for a connection to address. The peer's
-// certificate is checked against its host unless a server name is set.
-func clientTLS(shared *tls.Config, address string) *tls.Config {
-	cfg := shared.Clone()
-	if cfg.ServerName == "" {
-		host, _, err := net.SplitHostPort(address)
-		if err == nil {
-			cfg.ServerName = host
-		}
-	}
-	return cfg
-}
-
 // greet opens the stream and exchanges hellos.
 func (o *outbound) greet(ctx context.Context, client *drpcconn.Conn) (drpc.Stream, error) {
 	t := o.transport
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -69,8 +69,8 @@
 	Counters zinniasill.Counters
 	// Codec is the codec of the core types if nil.
 	Codec *Codec
-	// TLS enables TLS on all links if set. It serves both directions.
-	TLS *tls.Config
+	// Security enables TLS on all links if set.
+	Security Security
 	// Seed seeds the jitter of the back-off.
 	Seed uint64
 	// PingEvery, SilentAfter and UnreachableAfter are the defaults if 0.
@@ -81,6 +81,18 @@
 	UnreachableAfter time.Duration
 }
 
+// Security provides the TLS configurations of links, and checks that the other end
+// of a link is the node that it says it is.
+type Security interface {
+	// Server returns the configuration for accepted links.
+	Server() *tls.Config
+	// Client returns the configuration for a link to a node. The handshake must fail
+	// when another node answers.
+	Client(node zinniasill.NodeID) *tls.Config
+	// CheckPeer returns an error unless the certificate is that of the node.
+	CheckPeer(state tls.ConnectionState, node zinniasill.NodeID) error
+}
+
 // Stats counts the traffic since the start.
 type Stats struct {
 	Sent     uint64
