Measure the decisions under load on the virtual-time model

The model now draws a wave of cancellations, a burst of one team, and silent links to a dead agent; counts work only when it ends; and takes the ideal over the completed jobs. A second ideal queue serves small jobs first, because the one in order of arrival is beaten at p50 when large jobs are in the load.

--- a/internal/servemodel/event.go
+++ b/internal/servemodel/event.go
@@ -20,8 +20,11 @@
 	last   uint64
 }
 
+// epochStart is the time at which each run begins.
+var epochStart = time.Unix(0, 0)
+
 func newTimeline() *timeline {
-	return &timeline{now: time.Unix(0, 0)}
+	return &timeline{now: epochStart}
 }
 
 func (l *timeline) after(delay time.Duration, run func(now time.Time)) {
--- a/internal/servemodel/load.go
+++ b/internal/servemodel/load.go
@@ -22,12 +22,13 @@
 	// Burst, if set, multiplies the arrivals between BurstFrom and BurstTo.
 	Burst              float64
 	BurstFrom, BurstTo time.Duration
-	// CancelWaves is the part of jobs that are cancelled 100 ms after arrival.
-	CancelWaves float64
-	// Teams is the number of teams that submit; FirstTeamShare is the part of the
-	// jobs of the first one, 1/Teams if 0.
-	Teams          int
-	FirstTeamShare float64
+	// CancelWave is the part of the unanswered jobs that are cancelled at CancelAt.
+	CancelWave float64
+	CancelAt   time.Duration
+	// Teams is the number of teams that submit.
+	Teams int
+	// BurstTeam makes the first team submit the additional jobs of the burst.
+	BurstTeam bool
 }
 
 // Run times of the users' tasks.
@@ -51,7 +52,6 @@
 	at    time.Duration
 	tasks []time.Duration
 	team  int
-	abort bool
 }
 
 // meanTask is the mean run time of a task of the load.
@@ -71,26 +71,26 @@
 	var jobs []arrival
 	for at := time.Duration(0); ; {
 		now := rate
-		if l.Burst > 0 && at >= l.BurstFrom && at < l.BurstTo {
+		burst := l.Burst > 0 && at >= l.BurstFrom && at < l.BurstTo
+		if burst {
 			now *= l.Burst
 		}
 		at += time.Duration(random.ExpFloat64() / now * float64(time.Second))
 		if at >= l.Duration {
 			return jobs
 		}
-		jobs = append(jobs, l.draw(random, at))
+		jobs = append(jobs, l.draw(random, at, burst))
 	}
 }
 
-func (l Load) draw(random *rand.Rand, at time.Duration) arrival {
+func (l Load) draw(random *rand.Rand, at time.Duration, burst bool) arrival {
 	job := arrival{at: at, tasks: make([]time.Duration, l.JobSizes[random.IntN(len(l.JobSizes))])}
 	for i := range job.tasks {
 		job.tasks[i] = l.runTime(random)
 	}
-	job.abort = random.Float64() < l.CancelWaves
 	if l.Teams > 1 {
 		job.team = random.IntN(l.Teams)
-		if random.Float64() < l.FirstTeamShare {
+		if burst && l.BurstTeam && random.Float64() < 1-1/l.Burst {
 			job.team = 0
 		}
 	}
--- a/internal/servemodel/model.go
+++ b/internal/servemodel/model.go
@@ -3,7 +3,7 @@
 // and agents, so that their decisions are measured as they run in the daemons:
 //
 //	result := servemodel.Run(servemodel.Config{
-//		Seed: 1, Domains: 3, AgentsPerDomain: 4, Slots: 10, Entries: 2,
+//		Seed: 1, Domains: 3, Agents: 10, Slots: 10, Entries: 2,
 //		Delay: 500 * time.Microsecond, Picker: servemodel.BetterOfTwo,
 //		Load: servemodel.Load{Utilisation: 0.8, Duration: time.Minute, JobSizes: servemodel.DefaultSizes()},
 //	})
@@ -19,11 +19,8 @@
 	"time"
 
 	"zinniasill"
-	"zinniasill/core/agent"
 	"zinniasill/core/catalog"
-	"zinniasill/core/job"
 	"zinniasill/core/message"
-	"zinniasill/core/placement"
 )
 
 // Policy names the way in which entries choose agents.
@@ -42,10 +39,10 @@
 	localDelay   = 100 * time.Microsecond
 	profileName  = "task"
 	taskKind     = "any"
-	drainTime    = 30 * time.Second
+	drainTime    = 60 * time.Second
 	callerDelay  = 500 * time.Microsecond
-	cancelDelay  = 100 * time.Millisecond
 	deathNotice  = 3 * time.Second
+	silentLink   = 1500 * time.Millisecond
 	failFastTime = time.Millisecond
 )
 
@@ -60,11 +57,12 @@
 
 // Config configures a run.
 type Config struct {
-	Seed            uint64
-	Domains         int
-	AgentsPerDomain int
-	Slots           int
-	Entries         int
+	Seed    uint64
+	Domains int
+	// Agents are spread evenly over the domains. Slots is the number of each.
+	Agents  int
+	Slots   int
+	Entries int
 	// Delay is the one-way delay between failure domains.
 	Delay  time.Duration
 	Picker Policy
@@ -89,6 +87,8 @@
 	byID    map[zinniasill.NodeID]receiver
 	jobs    []*jobRecord
 	result  *Result
+	// answered counts the jobs with an answer.
+	answered int
 }
 
 type receiver interface {
@@ -103,6 +103,8 @@
 	answer *message.Answer
 	done   time.Duration
 	starts []int
+	// cancelled is set when the caller has cancelled the job.
+	cancelled bool
 }
 
 // copyOfCatalog is a node's lease, which the model keeps valid.
@@ -119,18 +121,26 @@
 // Run runs the model and returns what was observed.
 func Run(cfg Config) *Result {
 	w := newWorld(cfg)
-	jobs := cfg.Load.arrivals(w.random, cfg.Domains*cfg.AgentsPerDomain*cfg.Slots)
-	w.result.ideal = ideal(jobs, cfg.Domains*cfg.AgentsPerDomain*cfg.Slots)
+	jobs := cfg.Load.arrivals(w.random, cfg.Agents*cfg.Slots)
 	for i, drawn := range jobs {
 		record := &jobRecord{arrival: drawn, starts: make([]int, len(drawn.tasks))}
 		record.key = zinniasill.Key{Team: zinniasill.Team("team-" + strconv.Itoa(drawn.team)), Client: strconv.Itoa(i)}
 		w.jobs = append(w.jobs, record)
-		w.line.after(warmUp+drawn.at, func(now time.Time) { w.submit(now, i) })
+		w.line.after(warmUp+drawn.at, func(time.Time) { w.submit(i) })
 	}
 	for _, change := range cfg.Changes {
 		w.line.after(warmUp+change.At, func(time.Time) { w.change(change) })
 	}
-	w.line.until(w.line.now.Add(warmUp + cfg.Load.Duration + drainTime))
+	if cfg.Load.CancelWave > 0 {
+		w.line.after(warmUp+cfg.Load.CancelAt, w.cancelWave)
+	}
+	w.line.until(w.line.now.Add(warmUp + cfg.Load.Duration))
+	for range int(drainTime / renewPeriod) {
+		if w.answered == len(w.jobs) {
+			break
+		}
+		w.line.until(w.line.now.Add(renewPeriod))
+	}
 	w.result.collect(w)
 	return w.result
 }
@@ -145,10 +155,10 @@
 		line:    newTimeline(),
 		catalog: catalog.New(),
 		byID:    map[zinniasill.NodeID]receiver{},
-		result:  newResult(),
+		result:  newResult(cfg.Domains),
 	}
 	w.fillCatalog()
-	for i := range cfg.Domains * cfg.AgentsPerDomain {
+	for i := range cfg.Agents {
 		w.addAgent(i)
 	}
 	for i := range cfg.Entries {
@@ -172,7 +182,7 @@
 		Repeat: catalog.RepeatResubmit, MaxTasks: message.MaxTasks,
 	}})
 	var members []catalog.EpochMember
-	for i := range w.cfg.Domains * w.cfg.AgentsPerDomain {
+	for i := range w.cfg.Agents {
 		entry := w.agentEntry(i)
 		w.apply(catalog.Change{Node: &entry})
 		members = append(members, catalog.EpochMember{Node: entry.Node, Domain: entry.Domain})
@@ -215,12 +225,20 @@
 
 // send delivers messages after the delay between their nodes.
 func (w *world) send(from receiver, out []message.Envelope) {
+	if len(out) == 0 {
+		return
+	}
+	sentTo := map[zinniasill.NodeID]bool{}
 	for _, env := range out {
 		to, ok := w.byID[env.To.ID]
 		if !ok {
 			continue
 		}
 		w.result.countMessage(env.Body)
+		if !sentTo[env.To.ID] {
+			sentTo[env.To.ID] = true
+			w.result.Packets++
+		}
 		delay := localDelay
 		if from.domainOf() != to.domainOf() {
 			delay = w.cfg.Delay
@@ -235,6 +253,12 @@
 	if change.Kill > 0 {
 		node := w.agents[change.Kill-1]
 		node.dead = true
+		w.line.after(silentLink, func(now time.Time) {
+			for _, entry := range w.entries {
+				entry.jobs.Disconnected(now, node.id.ID)
+				entry.flush(now)
+			}
+		})
 		w.line.after(deathNotice, func(time.Time) { w.publish(catalog.Change{DeadNode: &node.id}) })
 		return
 	}
@@ -266,141 +290,3 @@
 		learn(node.lease)
 	}
 }
-
-// entryNode is one entry.
-type entryNode struct {
-	world  *world
-	domain int
-	lease  *copyOfCatalog
-	jobs   *job.Coordinator
-}
-
-func (w *world) addEntry(i int) {
-	node := &entryNode{world: w, domain: i % w.cfg.Domains, lease: &copyOfCatalog{current: w.catalog}}
-	random := rand.New(rand.NewPCG(w.cfg.Seed, uint64(100+i)))
-	node.jobs = job.New(job.Config{
-		Self: entryID(i), Lease: node.lease, Picker: w.picker(random), Rand: random, Counters: w.result,
-	})
-	w.entries = append(w.entries, node)
-	w.byID[entryID(i).ID] = node
-	w.line.every(time.Duration(w.random.Int64N(int64(tick))), tick, func(now time.Time) {
-		node.jobs.Tick(now)
-		node.flush(now)
-	})
-}
-
-func (w *world) picker(random *rand.Rand) zinniasill.Picker {
-	switch w.cfg.Picker {
-	case Random:
-		return &placement.Random{Rand: random}
-	case RoundRobin:
-		return &placement.RoundRobin{}
-	default:
-		return &placement.BetterOfTwo{Rand: random}
-	}
-}
-
-func (n *entryNode) domainOf() int { return n.domain }
-
-func (n *entryNode) receive(now time.Time, env message.Envelope) {
-	n.jobs.Receive(now, env)
-	n.flush(now)
-}
-
-func (n *entryNode) flush(now time.Time) {
-	n.world.send(n, n.jobs.Outbox())
-	for _, reply := range n.jobs.Replies() {
-		record := n.world.jobs[reply.Request]
-		answer := reply.Answer
-		record.answer = &answer
-		record.done = now.Sub(time.Unix(0, 0)) - warmUp + callerDelay
-	}
-}
-
-// submit hands a job to an entry chosen by the balancer.
-func (w *world) submit(now time.Time, index int) {
-	record := w.jobs[index]
-	payloads := make([][]byte, len(record.tasks))
-	for i, run := range record.tasks {
-		payloads[i] = append(encodeRunTime(run), strconv.Itoa(index)...)
-	}
-	entry := w.entries[index%len(w.entries)]
-	w.line.after(callerDelay, func(now time.Time) {
-		entry.jobs.Submit(now, job.RequestID(index), message.Submission{
-			Key: record.key, Stamp: 1, Profile: profileName, Payloads: payloads,
-		})
-		entry.flush(now)
-	})
-	if record.abort {
-		w.line.after(cancelDelay, func(now time.Time) {
-			entry.jobs.Cancel(now, record.key)
-			entry.flush(now)
-		})
-	}
-	_ = now
-}
-
-// agentNode is one agent with the endpoint beside it.
-type agentNode struct {
-	world   *world
-	id      zinniasill.Node
-	domain  int
-	lease   *copyOfCatalog
-	agent   *agent.Agent
-	dead    bool
-	failing bool
-}
-
-func (w *world) addAgent(i int) {
-	node := &agentNode{world: w, id: agentID(i), domain: i % w.cfg.Domains, lease: &copyOfCatalog{current: w.catalog}}
-	for _, failing := range w.cfg.FailAll {
-		node.failing = node.failing || failing == i+1
-	}
-	node.agent = agent.New(agent.Config{
-		Self: node.id, Domain: domainName(node.domain), Lease: node.lease, Counters: w.result,
-	})
-	node.agent.SetEndpoint(w.line.now, w.cfg.Slots, []zinniasill.Kind{taskKind}, true)
-	w.agents = append(w.agents, node)
-	w.byID[node.id.ID] = node
-	w.line.every(time.Duration(w.random.Int64N(int64(tick))), tick, func(now time.Time) {
-		if !node.dead {
-			node.agent.Tick(now)
-			node.flush(now)
-		}
-	})
-}
-
-func (n *agentNode) domainOf() int { return n.domain }
-
-func (n *agentNode) receive(now time.Time, env message.Envelope) {
-	if n.dead {
-		return
-	}
-	n.agent.Receive(now, env)
-	n.flush(now)
-}
-
-func (n *agentNode) flush(now time.Time) {
-	for _, task := range n.agent.Runs(now) {
-		n.run(now, task)
-	}
-	n.world.send(n, n.agent.Outbox())
-}
-
-// run runs a task at the endpoint.
-func (n *agentNode) run(now time.Time, task zinniasill.Task) {
-	duration := decodeRunTime(task.Payload)
-	outcome := zinniasill.Outcome{OK: true, Output: task.Payload, Ran: zinniasill.DidRun}
-	if n.failing {
-		duration = failFastTime
-		outcome = zinniasill.Outcome{Error: "endpoint fails everything", Ran: zinniasill.DidRun}
-	}
-	n.world.result.started(n, now, task, duration)
-	n.world.line.after(duration, func(now time.Time) {
-		if n.dead {
-			return
-		}
-		n.agent.Finished(now, task, outcome)
-		n.flush(now)
-	})
-}
--- a/internal/servemodel/result.go
+++ b/internal/servemodel/result.go
@@ -32,26 +32,36 @@
 	// Messages counts the messages that were sent, Wasted those about attempts that
 	// did not start and repeated offers.
 	Messages, Wasted int
+	// Claims are the messages about claims. Packets counts the messages of one node
+	// to another that leave at the same moment once.
+	Claims, Packets int
 	// Counts are the counters of the state machines by name and reason.
 	Counts map[string]int
 
-	ideal     []time.Duration
-	responses []time.Duration
-	ideals    []time.Duration
-	refusals  []time.Duration
-	work      map[int]time.Duration
-	outAt     map[int]time.Time
-	offered   map[string]bool
-	world     *world
+	work     []map[int]time.Duration
+	outAt    map[int]time.Time
+	offered  map[string]bool
+	world    *world
+	inOrder  []time.Duration
+	small    []time.Duration
+	finishes []finish
+	refusals []time.Duration
 }
 
-func newResult() *Result {
-	return &Result{
-		Counts:  map[string]int{},
-		work:    map[int]time.Duration{},
-		outAt:   map[int]time.Time{},
-		offered: map[string]bool{},
+// finish is one complete answer.
+type finish struct {
+	at       time.Duration
+	response time.Duration
+	team     int
+	work     time.Duration
+}
+
+func newResult(domains int) *Result {
+	r := &Result{Counts: map[string]int{}, outAt: map[int]time.Time{}, offered: map[string]bool{}}
+	for range domains {
+		r.work = append(r.work, map[int]time.Duration{})
 	}
+	return r
 }
 
 // Inc implements zinniasill.Counters.
@@ -67,6 +77,8 @@
 	r.Messages++
 	wasted := false
 	switch m := body.(type) {
+	case message.ClaimFast, message.ClaimPrepare, message.ClaimAccept, message.ClaimReply:
+		r.Claims++
 	case message.Offer:
 		wasted = true
 		for _, task := range m.Tasks {
@@ -90,8 +102,8 @@
 	return !slices.ContainsFunc(tasks, func(s message.TaskStatus) bool { return s.State != message.TaskClosed })
 }
 
-// started records the start of a task and the work that it will do.
-func (r *Result) started(n *agentNode, now time.Time, task zinniasill.Task, run time.Duration) {
+// started records the start of a task.
+func (r *Result) started(n *agentNode, now time.Time, task zinniasill.Task) {
 	index, err := strconv.Atoi(task.Key.Client)
 	if err != nil {
 		panic("servemodel: key of a job is not its number: " + task.Key.Client)
@@ -102,17 +114,18 @@
 	if out, ok := r.outAt[n.domain]; ok && now.Sub(out) > startBound {
 		r.LateStarts++
 	}
-	if !n.failing {
-		r.spread(now.Sub(time.Unix(0, 0))-warmUp, run)
-	}
 }
 
-// spread adds the work of a task to the buckets that it runs in.
-func (r *Result) spread(from, run time.Duration) {
+// finished adds the work of a task to the buckets that it ran in.
+func (r *Result) finished(n *agentNode, now time.Time, run time.Duration) {
+	if n.failing {
+		return
+	}
+	from := now.Sub(epochStart) - warmUp - run
 	for run > 0 {
 		bucket := int(from / workBucket)
 		part := min(run, time.Duration(bucket+1)*workBucket-from)
-		r.work[bucket] += part
+		r.work[n.domain][bucket] += part
 		from += part
 		run -= part
 	}
@@ -121,7 +134,8 @@
 // collect judges the answers at the end of a run.
 func (r *Result) collect(w *world) {
 	r.world = w
-	for i, record := range w.jobs {
+	var completed []arrival
+	for _, record := range w.jobs {
 		r.Jobs++
 		started := false
 		for _, starts := range record.starts {
@@ -134,18 +148,25 @@
 		case record.answer == nil:
 			r.Unanswered++
 		case record.answer.Complete:
-			r.complete(i, record)
+			r.complete(record)
+			completed = append(completed, record.arrival)
 		default:
 			r.refuse(record, started)
 		}
 	}
+	slots := w.cfg.Agents * w.cfg.Slots
+	r.inOrder = idealInOrder(completed, slots)
+	r.small = idealSmallFirst(completed, slots)
 }
 
-func (r *Result) complete(i int, record *jobRecord) {
+func (r *Result) complete(record *jobRecord) {
 	r.Completed++
 	r.Tasks += len(record.tasks)
-	r.responses = append(r.responses, record.done-record.at)
-	r.ideals = append(r.ideals, r.ideal[i])
+	done := finish{at: record.done, response: record.done - record.at, team: record.team}
+	for _, run := range record.tasks {
+		done.work += run
+	}
+	r.finishes = append(r.finishes, done)
 	whole := len(record.answer.Outputs) == len(record.tasks)
 	for t, output := range record.answer.Outputs {
 		whole = whole && bytes.Equal(output, append(encodeRunTime(record.tasks[t]), record.key.Client...))
@@ -161,32 +182,66 @@
 		return
 	}
 	r.Refused++
-	r.refusals = append(r.refusals, record.done-record.at)
+	if !record.cancelled {
+		r.refusals = append(r.refusals, record.done-record.at)
+	}
 	if started {
 		r.FalseRefusals++
 	}
 }
 
 // Ratio returns a quantile of the response times of completed jobs divided by the
-// same quantile of their ideal response times.
+// same quantile of the ideal queue, which serves them in the order of arrival.
 func (r *Result) Ratio(q float64) float64 {
-	base := quantile(r.ideals, q)
+	return part(r.Response(q), quantile(r.inOrder, q))
+}
+
+// RatioSmallFirst is the ratio to an ideal queue that serves small jobs first.
+func (r *Result) RatioSmallFirst(q float64) float64 {
+	return part(r.Response(q), quantile(r.small, q))
+}
+
+func part(value, base time.Duration) float64 {
 	if base == 0 {
 		return math.NaN()
 	}
-	return float64(quantile(r.responses, q)) / float64(base)
+	return float64(value) / float64(base)
 }
 
 // Response returns a quantile of the response times of completed jobs.
 func (r *Result) Response(q float64) time.Duration {
-	return quantile(r.responses, q)
+	return r.ResponseOf(q, func(int) bool { return true })
 }
 
-// Refusal returns a quantile of the response times of refused jobs.
+// ResponseOf is Response of the jobs of some teams.
+func (r *Result) ResponseOf(q float64, of func(team int) bool) time.Duration {
+	var times []time.Duration
+	for _, done := range r.finishes {
+		if of(done.team) {
+			times = append(times, done.response)
+		}
+	}
+	return quantile(times, q)
+}
+
+// Refusal returns a quantile of the response times of refused jobs that were not
+// cancelled.
 func (r *Result) Refusal(q float64) time.Duration {
 	return quantile(r.refusals, q)
 }
 
+// Goodput returns the work of the jobs that completed between two times as a part
+// of what all slots can do.
+func (r *Result) Goodput(from, to time.Duration) float64 {
+	var sum time.Duration
+	for _, done := range r.finishes {
+		if done.at >= from && done.at < to {
+			sum += done.work
+		}
+	}
+	return float64(sum) / (float64(to-from) * float64(r.world.cfg.Agents*r.world.cfg.Slots))
+}
+
 // MessagesPerTask returns the messages for each started task.
 func (r *Result) MessagesPerTask() float64 {
 	return float64(r.Messages) / float64(max(r.Starts, 1))
@@ -198,18 +253,25 @@
 }
 
 // Work returns the work done between two times as a part of what a number of
-// slots could do.
+// slots could do. What is done beyond that in one bucket does not make up for
+// another one.
 func (r *Result) Work(from, to time.Duration, slots int) float64 {
-	var sum time.Duration
-	for bucket := int(from / workBucket); bucket < int(to/workBucket); bucket++ {
-		sum += r.work[bucket]
+	sum := 0.0
+	buckets := 0
+	for at := from; at < to; at += workBucket {
+		sum += min(r.WorkAt(at), float64(slots))
+		buckets++
 	}
-	return float64(sum) / (float64(to-from) * float64(slots))
+	return sum / float64(buckets*slots)
 }
 
-// WorkIn returns the work done in the bucket that begins at a time, in slots.
-func (r *Result) WorkIn(at time.Duration) float64 {
-	return float64(r.work[int(at/workBucket)]) / float64(workBucket)
+// WorkAt returns the work done in the bucket that begins at a time, in slots.
+func (r *Result) WorkAt(at time.Duration) float64 {
+	var sum time.Duration
+	for _, domain := range r.work {
+		sum += domain[int(at/workBucket)]
+	}
+	return float64(sum) / float64(workBucket)
 }
 
 func quantile(values []time.Duration, q float64) time.Duration {
