Learn run times from tasks that end after their job's deadline

Cause: at overload the average run time was learned from completed jobs only. Long tasks missed their deadlines and did not count, so the expected wait fell and more jobs were taken than could be answered.

Change: an agent reports the run time that it measured with each outcome, and the owner learns from outcomes of answered jobs too. Keeping the start times of answered jobs at the entry was ruled out: it needs memory for each of them.

--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -169,6 +169,7 @@
 	delete(a.running, t)
 	a.runningWork -= t.expected + t.startedAt.Sub(a.origin)
 	t.outcome = outcome
+	t.took = a.now.Sub(t.startedAt)
 	a.keepOutput(t)
 	a.report(t)
 	a.count(CounterFinished, "")
--- a/core/agent/task.go
+++ b/core/agent/task.go
@@ -78,6 +78,7 @@
 	queuedAt   time.Time
 	fetchedAt  time.Time
 	startedAt  time.Time
+	took       time.Duration
 	fetchAgain time.Time
 	heapIndex  int
 }
@@ -125,6 +126,7 @@
 		status.State = message.TaskFinished
 		outcome := t.outcome
 		status.Outcome = &outcome
+		status.Took = t.took
 		if t.evicted {
 			status.Reason = zinniasill.ReasonAnswerEvicted
 		}
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -49,7 +49,10 @@
 
 // record is one job at one entry. It is kept after the answer, without its work.
 type record struct {
-	key      zinniasill.Key
+	key zinniasill.Key
+	// ran is the profile's name. Run times are learned from tasks that end after
+	// the answer too.
+	ran      zinniasill.ProfileName
 	digest   zinniasill.Digest
 	sequence uint64
 	state    state
--- a/core/job/status.go
+++ b/core/job/status.go
@@ -11,6 +11,9 @@
 // statuses handles an agent's report on tasks of a job.
 func (c *Coordinator) statuses(now time.Time, from zinniasill.Node, key zinniasill.Key, term zinniasill.Term, reports []message.TaskStatus) {
 	r := c.jobs[key]
+	if r != nil && r.answer != nil {
+		c.learnLate(r, reports)
+	}
 	if r == nil || r.done() || !r.owns() {
 		return
 	}
@@ -29,6 +32,17 @@
 	c.progress(now, r)
 }
 
+// learnLate learns the run times of tasks that end after their job's deadline.
+// Without them only short tasks would count while jobs miss their deadlines; the
+// estimated wait would fall, and more jobs would be taken than can be answered.
+func (c *Coordinator) learnLate(r *record, reports []message.TaskStatus) {
+	for _, status := range reports {
+		if status.Took > 0 && status.Outcome != nil && status.Outcome.OK {
+			c.times.Observe(r.ran, status.Took)
+		}
+	}
+}
+
 // status applies one report. It returns true when the agent knows a later term.
 func (c *Coordinator) status(now time.Time, r *record, from zinniasill.Node, term zinniasill.Term, status message.TaskStatus) bool {
 	t := &r.tasks[status.Ref.Index]
@@ -123,7 +137,10 @@
 	t.output = outcome.Output
 	t.err = outcome.Error
 	t.ran = outcome.Ran
-	if outcome.OK && !t.began.IsZero() {
+	switch {
+	case outcome.OK && status.Took > 0:
+		c.times.Observe(r.profile.Name, status.Took)
+	case outcome.OK && !t.began.IsZero():
 		c.times.Observe(r.profile.Name, now.Sub(t.began))
 	}
 	c.views.Finished(now, from, r.profile, outcome.OK)
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -30,7 +30,7 @@
 		return
 	}
 	c.sequence++
-	r := &record{key: sub.Key, digest: sub.Digest, sequence: c.sequence, claims: c.claims}
+	r := &record{key: sub.Key, ran: sub.Profile, digest: sub.Digest, sequence: c.sequence, claims: c.claims}
 	r.work = &work{stamp: sub.Stamp, payloads: sub.Payloads, profile: profile}
 	if !known {
 		r.profile = catalog.Profile{Name: sub.Profile}
--- a/core/message/task.go
+++ b/core/message/task.go
@@ -44,6 +44,8 @@
 	Reason zinniasill.Reason `cbor:"3,keyasint,omitempty"`
 	// Outcome is set when the task has finished.
 	Outcome *zinniasill.Outcome `cbor:"4,keyasint,omitempty"`
+	// Took is the run time of a finished task as the agent measured it.
+	Took time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Offer asks an agent to take tasks of a job. The sender is the job's owner.
