Keep a margin for uneven queues at admission

Cause: a job was taken while the mean wait of all agents was within its limit. The wait at single agents is longer, so jobs missed their deadlines after their tasks had started, and that work was lost.

Change: the expected wait counts twice.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -27,6 +27,11 @@
 	declaredError = 10
 )
 
+// waitMargin is the factor by which the wait at one agent may exceed the mean of
+// all agents. Without it jobs are taken until the mean wait is the limit; about half
+// of them then miss their deadlines after their tasks have started.
+const waitMargin = 2
+
 // RunTime is what is known of the run time of a profile's tasks.
 type RunTime struct {
 	// Mean is the expected run time.
@@ -108,7 +113,8 @@
 		e.RunTime.Mean /= declaredError
 		e.Load.Waiting /= declaredError
 	}
-	return e.Completion() <= limit
+	margin := e.Load.Waiting / time.Duration(max(e.Load.Slots, 1)) * (waitMargin - 1)
+	return e.Completion()+margin <= limit
 }
 
 // Quotas counts the tasks in flight of each team at one entry.
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -17,12 +17,13 @@
 		estimate Estimate
 		want     bool
 	}{
-		"free slot":                  {Estimate{Load{Slots: 10, Free: 1}, 1, RunTime{900 * ms, true}}, true},
-		"free slot, long run time":   {Estimate{Load{Slots: 10, Free: 1}, 1, RunTime{9 * time.Second, true}}, true},
-		"short queue":                {Estimate{Load{Slots: 10, Waiting: 4 * time.Second}, 1, RunTime{100 * ms, true}}, true},
-		"long queue":                 {Estimate{Load{Slots: 10, Waiting: 10 * time.Second}, 1, RunTime{100 * ms, true}}, false},
-		"own tasks exceed the limit": {Estimate{Load{Slots: 10, Free: 10}, 101, RunTime{100 * ms, true}}, false},
-		"own tasks fit":              {Estimate{Load{Slots: 10, Free: 10}, 81, RunTime{100 * ms, true}}, true},
+		"free slot":                   {Estimate{Load{Slots: 10, Free: 1}, 1, RunTime{900 * ms, true}}, true},
+		"free slot, long run time":    {Estimate{Load{Slots: 10, Free: 1}, 1, RunTime{9 * time.Second, true}}, true},
+		"short queue":                 {Estimate{Load{Slots: 10, Waiting: 4 * time.Second}, 1, RunTime{100 * ms, true}}, true},
+		"queue of over half the time": {Estimate{Load{Slots: 10, Waiting: 5 * time.Second}, 1, RunTime{100 * ms, true}}, false},
+		"long queue":                  {Estimate{Load{Slots: 10, Waiting: 10 * time.Second}, 1, RunTime{100 * ms, true}}, false},
+		"own tasks exceed the limit":  {Estimate{Load{Slots: 10, Free: 10}, 101, RunTime{100 * ms, true}}, false},
+		"own tasks fit":               {Estimate{Load{Slots: 10, Free: 10}, 81, RunTime{100 * ms, true}}, true},
 		"declared ten times too long": {
 			Estimate{Load{Slots: 10, Waiting: 9 * time.Second}, 1, RunTime{2 * time.Second, false}}, true,
 		},
