Back off the probes of a failing agent

Cause: each entry probed an agent that fails everything every 0.5 s without end, and each probe that fails costs a caller its job.

Change: the time between probes doubles up to 8 s and starts anew with the first success. Failures of tasks that were in flight when the agent was found to be failing do not count as probes.

A repaired agent may wait up to 8 s for its next probe.

--- a/core/placement/failing.go
+++ b/core/placement/failing.go
@@ -20,8 +20,9 @@
 	// windowOutcomes bounds the memory: counts are halved when they reach it.
 	windowOutcomes = 64
 	// probeEvery is the least time between two probes of a failing agent. Each probe
-	// that fails costs a caller its job.
+	// that fails costs a caller its job, so the time doubles up to probeMax.
 	probeEvery = 500 * time.Millisecond
+	probeMax   = 8 * time.Second
 	// probeTimeout is the time after which a probe without an outcome is given up.
 	probeTimeout = 5 * time.Second
 )
@@ -70,14 +71,33 @@
 	own.add(ok)
 	if ok {
 		a.Failing = false
+		a.failedProbes = 0
+		a.probing = false
 		own.failed = 0
 		return
 	}
 	if own.count() < minOutcomes || own.failedPart() < failingPart {
 		return
 	}
+	// The tasks in flight when the agent was found to be failing are no probes.
+	if a.Failing && a.probing {
+		a.failedProbes++
+		a.probing = false
+	}
 	a.Failing = a.Failing || v.othersSucceed(node, profile)
-	a.probeAt = now.Add(probeEvery)
+	a.probeAt = now.Add(a.probeWait())
+}
+
+// probeWait returns the time until the next probe.
+func (a *agent) probeWait() time.Duration {
+	wait := probeEvery
+	for range a.failedProbes {
+		wait = min(2*wait, probeMax)
+		if wait == probeMax {
+			break
+		}
+	}
+	return wait
 }
 
 // Returned ends a probe whose task did not start.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -204,3 +204,21 @@
 		})
 	}
 }
+
+// Guards against a failing agent that costs a job every half second for ever, and
+// against one that gets no work after it is repaired.
+func TestProbesOfFailingAgentBackOff(t *testing.T) {
+	a := &agent{}
+	last := time.Duration(0)
+	for probe := range 20 {
+		wait := a.probeWait()
+		if wait < last || wait > probeMax || probe == 0 && wait != probeEvery {
+			t.Fatalf("after %d failed probes waits %s, before %s", probe, wait, last)
+		}
+		last = wait
+		a.failedProbes++
+	}
+	if last != probeMax {
+		t.Fatalf("waits %s at last, want %s", last, probeMax)
+	}
+}
--- a/core/placement/views.go
+++ b/core/placement/views.go
@@ -64,6 +64,10 @@
 	outcomes map[zinniasill.ProfileName]*record
 	// probeAt is the earliest time of the next task while the agent is failing.
 	probeAt time.Time
+	// probing is set while the outcome of a probe is not known, and failedProbes
+	// counts the probes that failed since the last success.
+	probing      bool
+	failedProbes int
 }
 
 // group is the list of eligible agents of one profile at one revision.
@@ -169,6 +173,7 @@
 func (v *Views) Placed(now time.Time, node zinniasill.Node) {
 	if a := v.agent(node); a != nil && a.Failing {
 		a.probeAt = now.Add(probeTimeout)
+		a.probing = true
 	}
 }
 
