--- a/cmd/measure/response.go
+++ b/cmd/measure/response.go
@@ -20,6 +20,9 @@
 	}
 }
 
+// oneTask names the mix of the plots.
+const oneTask = "one-task jobs"
+
 // mix is a list of job sizes.
 type mix struct {
 	name  string
@@ -28,7 +31,7 @@
 
 func mixes() []mix {
 	return []mix{
-		{name: "one-task jobs", sizes: []int{1}},
+		{name: oneTask, sizes: []int{1}},
 		{name: "jobs of 1 to 8, some of 530", sizes: servemodel.DefaultSizes()},
 	}
 }
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -139,9 +139,9 @@
 	if len(agents) == 0 {
 		return -1
 	}
-	at := scan(r.next%len(agents), agents, usable, -1)
-	if at >= 0 {
-		r.next = at + 1
-	}
-	return at
+	// The turn moves by one whichever agent is usable. Moving on from the chosen
+	// agent made the spares of each job pick out the same few agents for tasks.
+	start := r.next % len(agents)
+	r.next = start + 1
+	return scan(start, agents, usable, -1)
 }
--- a/internal/servemodel/model.go
+++ b/internal/servemodel/model.go
@@ -120,7 +120,11 @@
 
 // Run runs the model and returns what was observed.
 func Run(cfg Config) *Result {
-	w := newWorld(cfg)
+	return newWorld(cfg).run()
+}
+
+func (w *world) run() *Result {
+	cfg := w.cfg
 	jobs := cfg.Load.arrivals(w.random, cfg.Agents*cfg.Slots)
 	for i, drawn := range jobs {
 		record := &jobRecord{arrival: drawn, starts: make([]int, len(drawn.tasks))}
