Read the recorded requests of the client test under their lock

Cause: with the race detector TestSubmit failed in the case no_entry_answers: the test read the recorded keys without the lock that the handler holds, and a hijacked connection orders nothing. Change: the test takes the lock; its checks are the same. Conclusion: go test -race -count=2 ./client passes.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -115,6 +115,9 @@
 				t.Fatalf("error %v, want code %s", err, tt.code)
 			}
 			for _, entry := range entries {
+				// A connection that was cut does not order the handler before this read.
+				entry.mu.Lock()
+				defer entry.mu.Unlock()
 				for i := range entry.keys {
 					if entry.keys[i] != "k" || entry.epochs[i] != entries[0].epochs[0] {
 						t.Errorf("sent key %q with epoch %q", entry.keys[i], entry.epochs[i])
