Run all roles in one process, and all interfaces with mutual TLS

Cause: trying the system took three kinds of processes, a VM with a disk could not run an entry beside its control replica, and the TLS settings had no effect.

With TLS files the links between processes need the right peer and the node's name, the callers' interface the right caller, the operators' the right operator; a wrong right is answered with status 403 and counted. The client package and the commands take the same three files.

--- a/cmd/zinniasill/job.go
+++ b/cmd/zinniasill/job.go
@@ -16,18 +16,30 @@
 
 	"zinniasill"
 	"zinniasill/client"
+	"zinniasill/io/identity"
+	"zinniasill/io/settings"
 )
 
 // jobFlags are the flags of all job commands.
 type jobFlags struct {
 	entries string
 	team    string
+	files   identity.Files
 }
 
 func (f *jobFlags) register(clause *kingpin.CmdClause) {
 	clause.Flag("entries", "Callers' interfaces of the entries as URLs, separated by commas.").
 		Envar("ZINNIASILL_ENTRIES").Required().StringVar(&f.entries)
 	clause.Flag("team", "Team that submits.").Envar("ZINNIASILL_TEAM").Required().StringVar(&f.team)
+	settings.RegisterTLS(clause, &f.files)
+}
+
+// transport returns the transport for requests to entries.
+func (f *jobFlags) transport() (http.RoundTripper, error) {
+	if !f.files.Given() {
+		return nil, nil
+	}
+	return client.TLS(f.files)
 }
 
 func addJob(app *kingpin.Application, commands map[string]command) {
@@ -58,7 +70,13 @@
 		if *key == "" {
 			*key = rand.Text()
 		}
-		c := client.New(client.Config{Entries: strings.Split(flags.entries, ","), Team: zinniasill.Team(flags.team)})
+		transport, err := flags.transport()
+		if err != nil {
+			return err
+		}
+		c := client.New(client.Config{
+			Entries: strings.Split(flags.entries, ","), Team: zinniasill.Team(flags.team), Transport: transport,
+		})
 		defer c.Close()
 		job := client.Job{Key: *key, Profile: zinniasill.ProfileName(*profile), Epoch: zinniasill.Epoch(*epoch)}
 		for _, payload := range *tasks {
@@ -80,10 +98,15 @@
 
 // askJob asks the entries in turn until one knows the job.
 func askJob(ctx context.Context, flags jobFlags, method, key string) error {
+	transport, err := flags.transport()
+	if err != nil {
+		return err
+	}
+	asker := &http.Client{Transport: transport}
 	var last error
 	for _, entry := range strings.Split(flags.entries, ",") {
 		target := entry + "/v1/jobs/" + url.PathEscape(key) + "?team=" + url.QueryEscape(flags.team)
-		status, body, err := ask(ctx, method, target)
+		status, body, err := ask(ctx, asker, method, target)
 		if err != nil {
 			last = err
 			continue
@@ -98,14 +121,14 @@
 	return last
 }
 
-func ask(ctx context.Context, method, target string) (int, []byte, error) {
+func ask(ctx context.Context, asker *http.Client, method, target string) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, target, nil)
 	if err != nil {
 		return 0, nil, eris.Wrapf(err, "ask %s", target)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := asker.Do(request)
 	if err != nil {
 		return 0, nil, eris.Wrapf(err, "ask %s", target)
 	}
--- a/cmd/zinniasill/main.go
+++ b/cmd/zinniasill/main.go
@@ -54,11 +54,12 @@
 func addRoles(app *kingpin.Application, commands map[string]command) {
 	check := app.Command("check-settings", "Check the settings of a role without starting it.")
 	help := map[settings.Role]string{
-		settings.RoleControl: "Run a control replica.",
-		settings.RoleEntry:   "Run an entry, which takes jobs from callers.",
-		settings.RoleAgent:   "Run an agent beside an endpoint.",
+		settings.RoleControl:  "Run a control replica.",
+		settings.RoleEntry:    "Run an entry, which takes jobs from callers.",
+		settings.RoleAgent:    "Run an agent beside an endpoint.",
+		settings.RoleAllInOne: "Run a control replica, an entry and an agent in one process, for evaluation.",
 	}
-	for _, role := range []settings.Role{settings.RoleControl, settings.RoleEntry, settings.RoleAgent} {
+	for _, role := range []settings.Role{settings.RoleControl, settings.RoleEntry, settings.RoleAgent, settings.RoleAllInOne} {
 		s := &settings.Settings{}
 		clause := app.Command(string(role), help[role])
 		settings.Register(clause, s, role)
--- a/cmd/zinniasill/operator.go
+++ b/cmd/zinniasill/operator.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -16,7 +17,9 @@
 	"zinniasill"
 	"zinniasill/core/catalog"
 	"zinniasill/core/control"
+	"zinniasill/io/identity"
 	"zinniasill/io/operator"
+	"zinniasill/io/settings"
 )
 
 // operatorTimeout bounds one command of an operator, resends included.
@@ -24,16 +27,28 @@
 
 // addresses are the control replicas' interfaces for operators.
 type addresses struct {
-	list string
+	list  string
+	files identity.Files
 }
 
 func (a *addresses) register(clause *kingpin.CmdClause) {
 	clause.Flag("control", "Operators' interfaces of the control replicas as ip:port, separated by commas.").
 		Envar("ZINNIASILL_CONTROL").Required().StringVar(&a.list)
+	settings.RegisterTLS(clause, &a.files)
 }
 
-func (a *addresses) client() operator.Client {
-	return operator.Client{Addresses: strings.Split(a.list, ",")}
+func (a *addresses) client() (operator.Client, error) {
+	client := operator.Client{Addresses: strings.Split(a.list, ",")}
+	if !a.files.Given() {
+		return client, nil
+	}
+	source, err := identity.Open(identity.Config{Files: a.files})
+	if err != nil {
+		return client, err
+	}
+	client.Scheme = "https"
+	client.HTTP = &http.Client{Transport: source.Transport()}
+	return client, nil
 }
 
 // edit returns the edit of an object whose revision was just read.
@@ -70,7 +85,11 @@
 		commands[clause.FullCommand()] = func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 			defer cancel()
-			return run(ctx, to.client())
+			client, err := to.client()
+			if err != nil {
+				return err
+			}
+			return run(ctx, client)
 		}
 	}
 	add(app.Command("status", "Show the configuration, members and nodes."), &addresses{},
--- /dev/null
+++ b/io/identity/identity_test.go
@@ -0,0 +1,317 @@
+package identity_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+
+	"zinniasill"
+	"zinniasill/internal/authority"
+	"zinniasill/io/identity"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// counts implements zinniasill.Counters and lets a test wait for an event.
+type counts struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	byName  map[string]int
+}
+
+func newCounts() *counts {
+	c := &counts{byName: map[string]int{}}
+	c.changed = sync.NewCond(&c.mu)
+	return c
+}
+
+func (c *counts) Inc(name string, reason zinniasill.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byName[name+"/"+string(reason)]++
+	c.changed.Broadcast()
+}
+
+func (c *counts) waitFor(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.byName[name] == 0 {
+		c.changed.Wait()
+	}
+}
+
+func (c *counts) get(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byName[name]
+}
+
+func newAuthority(t *testing.T) *authority.Authority {
+	t.Helper()
+	ca, err := authority.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+func write(t *testing.T, ca *authority.Authority, folder string, r authority.Request) identity.Files {
+	t.Helper()
+	files, err := ca.Write(folder, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func open(t *testing.T, cfg identity.Config) *identity.Source {
+	t.Helper()
+	source, err := identity.Open(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return source
+}
+
+// serve runs an HTTP server for operators and returns its address.
+func serve(t *testing.T, source *identity.Source) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, "served") })
+	server := &http.Server{
+		Handler: source.Require(identity.Operator, handler), ErrorLog: source.HTTPLog(), ReadHeaderTimeout: time.Second,
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(tls.NewListener(listener, source.Server()))
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-ended
+	})
+	return listener.Addr().String()
+}
+
+// get asks a server once, on a connection of its own.
+func get(t *testing.T, transport *http.Transport, target string) (int, string, error) {
+	t.Helper()
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, target, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := (&http.Client{Transport: transport, Timeout: 20 * time.Second}).Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// TestClients guards against a server that serves a client without a valid
+// certificate and the right, and against refusals that are not counted.
+func TestClients(t *testing.T) {
+	ca, stranger := newAuthority(t), newAuthority(t)
+	tests := map[string]struct {
+		issuer  *authority.Authority
+		request authority.Request
+		status  int
+		counted string
+	}{
+		"right":             {issuer: ca, request: authority.Request{Rights: []string{"operator"}}, status: http.StatusOK},
+		"several rights":    {issuer: ca, request: authority.Request{Rights: []string{"caller", "operator"}}, status: http.StatusOK},
+		"wrong right":       {issuer: ca, request: authority.Request{Rights: []string{"caller"}}, status: http.StatusForbidden, counted: "tls_refused/wrong-right"},
+		"peer":              {issuer: ca, request: authority.Request{Rights: []string{"peer"}}, status: http.StatusForbidden, counted: "tls_refused/wrong-right"},
+		"no right":          {issuer: ca, status: http.StatusForbidden, counted: "tls_refused/wrong-right"},
+		"expired":           {issuer: ca, request: authority.Request{Rights: []string{"operator"}, Expired: true}, counted: "tls_refused/expired-certificate"},
+		"unknown authority": {issuer: stranger, request: authority.Request{Rights: []string{"operator"}}, counted: "tls_refused/unknown-authority"},
+	}
+	trusted := write(t, ca, t.TempDir(), authority.Request{Name: "control-1", Rights: []string{"peer"}})
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			counted := newCounts()
+			address := serve(t, open(t, identity.Config{Files: trusted, Counters: counted}))
+			files := write(t, tt.issuer, t.TempDir(), tt.request)
+			files.CA = trusted.CA
+			status, body, err := get(t, open(t, identity.Config{Files: files}).Transport(), "https://"+address)
+			if status != tt.status || (tt.status == 0) != (err != nil) {
+				t.Errorf("status %d %s, error %v, want status %d", status, body, err, tt.status)
+			}
+			if tt.counted != "" {
+				counted.waitFor(tt.counted)
+			}
+			if tt.status == http.StatusForbidden && !strings.Contains(body, "wrong-right") {
+				t.Errorf("the refusal does not say why: %s", body)
+			}
+		})
+	}
+}
+
+// TestWithoutCertificate guards against a server that serves TLS clients without
+// a certificate.
+func TestWithoutCertificate(t *testing.T) {
+	ca := newAuthority(t)
+	counted := newCounts()
+	files := write(t, ca, t.TempDir(), authority.Request{Name: "control-1", Rights: []string{"peer"}})
+	address := serve(t, open(t, identity.Config{Files: files, Counters: counted}))
+	transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}} //nolint:gosec // The server is to refuse.
+	if status, body, err := get(t, transport, "https://"+address); err == nil {
+		t.Errorf("served without a certificate: %d %s", status, body)
+	}
+	counted.waitFor("tls_refused/no-certificate")
+}
+
+// TestPlainText guards against a stranger in plain text that is served, or whose
+// attempt is not counted.
+func TestPlainText(t *testing.T) {
+	counted := newCounts()
+	files := write(t, newAuthority(t), t.TempDir(), authority.Request{Name: "control-1", Rights: []string{"peer"}})
+	address := serve(t, open(t, identity.Config{Files: files, Counters: counted}))
+	if status, body, err := get(t, &http.Transport{}, "http://"+address); err == nil && status != http.StatusBadRequest {
+		t.Errorf("plain text was answered %d %s", status, body)
+	}
+	counted.waitFor("tls_handshakes_failed/")
+}
+
+// TestServerWithoutPeerRight guards against a caller that poses as a server with
+// its own certificate.
+func TestServerWithoutPeerRight(t *testing.T) {
+	ca := newAuthority(t)
+	address := serve(t, open(t, identity.Config{Files: write(t, ca, t.TempDir(), authority.Request{Rights: []string{"caller"}})}))
+	client := open(t, identity.Config{Files: write(t, ca, t.TempDir(), authority.Request{Rights: []string{"operator"}})})
+	_, _, err := get(t, client.Transport(), "https://"+address)
+	var refused *identity.Error
+	if !errors.As(err, &refused) || refused.Reason != identity.ReasonWrongRight {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestReloadUnderTraffic guards against requests that fail while files are
+// replaced, and against new files that do not come into use.
+func TestReloadUnderTraffic(t *testing.T) {
+	ca := newAuthority(t)
+	counted := newCounts()
+	folder := t.TempDir()
+	request := authority.Request{Name: "control-1", Rights: []string{"peer"}}
+	address := serve(t, open(t, identity.Config{Files: write(t, ca, folder, request), Counters: counted}))
+	client := open(t, identity.Config{Files: write(t, ca, t.TempDir(), authority.Request{Rights: []string{"operator"}})})
+	ctx, cancel := context.WithCancel(context.Background())
+	var traffic conc.WaitGroup
+	for range 4 {
+		traffic.Go(func() {
+			for ctx.Err() == nil {
+				if status, body, err := get(t, client.Transport(), "https://"+address); status != http.StatusOK {
+					t.Errorf("status %d %s, error %v", status, body, err)
+					return
+				}
+			}
+		})
+	}
+	counted.waitForSome(t, client, address)
+	for range 5 {
+		before := counted.get("tls_reloads/")
+		write(t, ca, folder, request)
+		counted.waitForMore("tls_reloads/", before)
+	}
+	cancel()
+	traffic.Wait()
+
+	// A new authority replaces the old one.
+	other := newAuthority(t)
+	write(t, other, folder, request)
+	if status, _, err := get(t, client.Transport(), "https://"+address); err == nil {
+		t.Errorf("a client of the replaced authority got status %d", status)
+	}
+}
+
+// waitForSome makes sure that a server answers.
+func (c *counts) waitForSome(t *testing.T, client *identity.Source, address string) {
+	t.Helper()
+	if status, body, err := get(t, client.Transport(), "https://"+address); status != http.StatusOK {
+		t.Fatalf("status %d %s, error %v", status, body, err)
+	}
+}
+
+func (c *counts) waitForMore(name string, than int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.byName[name] <= than {
+		c.changed.Wait()
+	}
+}
+
+// TestBrokenFile guards against a broken new file that ends the service or floods
+// the log, and against a good file that is not used after a broken one.
+func TestBrokenFile(t *testing.T) {
+	ca := newAuthority(t)
+	counted := newCounts()
+	folder := t.TempDir()
+	request := authority.Request{Name: "control-1", Rights: []string{"peer"}}
+	files := write(t, ca, folder, request)
+	var lines bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&lines)
+	source := open(t, identity.Config{Files: files, Counters: counted, Log: log})
+	address := serve(t, source)
+	client := open(t, identity.Config{Files: write(t, ca, t.TempDir(), authority.Request{Rights: []string{"operator"}})})
+	for _, path := range []string{files.Cert, files.Key, files.CA} {
+		if err := os.WriteFile(path, []byte("broken"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for range 3 {
+			counted.waitForSome(t, client, address)
+		}
+	}
+	if got := counted.get("tls_reloads_failed/"); got != 3 {
+		t.Errorf("%d failed reloads were counted, want one for each broken file", got)
+	}
+	if got := strings.Count(lines.String(), "cannot be used"); got != 3 {
+		t.Errorf("%d lines were logged, want one for each broken file:\n%s", got, lines.String())
+	}
+	write(t, ca, folder, request)
+	counted.waitForSome(t, client, address)
+	if got := counted.get("tls_reloads/"); got != 1 {
+		t.Errorf("%d reloads were counted, want 1", got)
+	}
+}
+
+// TestOpen guards against a process that starts with files that it cannot use.
+func TestOpen(t *testing.T) {
+	ca := newAuthority(t)
+	good := write(t, ca, t.TempDir(), authority.Request{Name: "a"})
+	other := write(t, ca, t.TempDir(), authority.Request{Name: "b"})
+	tests := map[string]identity.Files{
+		"no certificate":  {Cert: "missing", Key: good.Key, CA: good.CA},
+		"key of another":  {Cert: good.Cert, Key: other.Key, CA: good.CA},
+		"no authority":    {Cert: good.Cert, Key: good.Key, CA: "missing"},
+		"not a authority": {Cert: good.Cert, Key: good.Key, CA: good.Key},
+	}
+	for name, files := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := identity.Open(identity.Config{Files: files}); err == nil {
+				t.Error("no error")
+			}
+		})
+	}
+}
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -10,14 +11,19 @@
 
 	"zinniasill"
 	"zinniasill/core/catalog"
+	"zinniasill/core/message"
 	"zinniasill/core/placement"
 	"zinniasill/io/caller"
 	"zinniasill/io/daemon"
+	"zinniasill/io/identity"
 	"zinniasill/io/metrics"
 	"zinniasill/io/peer"
 	"zinniasill/io/settings"
 )
 
+// entrySuffix follows the name of a process that runs an entry beside another role.
+const entrySuffix = "-entry"
+
 // New builds a process and opens its sockets and files. Its goroutines start with
 // Run.
 func New(cfg Config) (*Process, error) {
@@ -26,16 +32,21 @@
 		log:     cfg.Log.WithField("node", cfg.Settings.Name),
 		clock:   daemon.SystemClock{},
 		metrics: metrics.New(),
+		local:   map[zinniasill.NodeID]func(message.Envelope){},
 	}
 	p.members, _ = settings.ParseMembers(cfg.Settings.Members)
 	build := map[settings.Role]func() error{
-		settings.RoleControl: p.buildControl,
-		settings.RoleEntry:   p.buildEntry,
-		settings.RoleAgent:   p.buildAgent,
+		settings.RoleControl:  p.buildControl,
+		settings.RoleEntry:    p.buildEntry,
+		settings.RoleAgent:    p.buildAgent,
+		settings.RoleAllInOne: p.buildAllInOne,
 	}[cfg.Role]
 	if build == nil {
 		return nil, eris.Errorf("role %q cannot run as a process of its own", cfg.Role)
 	}
+	if err := p.openIdentity(); err != nil {
+		return nil, err
+	}
 	if err := build(); err != nil {
 		p.closeListeners()
 		return nil, err
@@ -51,6 +62,41 @@
 // headerTimeout bounds what a slow client of an internal interface holds.
 const headerTimeout = 5 * time.Second
 
+// openIdentity reads the TLS files if any are given.
+func (p *Process) openIdentity() error {
+	files := p.cfg.Settings.Files()
+	if !files.Given() {
+		return nil
+	}
+	var err error
+	p.identity, err = identity.Open(identity.Config{Files: files, Counters: p.metrics, Log: p.log})
+	return err
+}
+
+// require returns a handler for clients that have a right. Without TLS all have it.
+func (p *Process) require(right identity.Right, handler http.Handler) http.Handler {
+	if p.identity == nil {
+		return handler
+	}
+	return p.identity.Require(right, handler)
+}
+
+// listenSecure opens a server that uses TLS if the settings name TLS files.
+func (p *Process) listenSecure(address string, handler http.Handler) error {
+	serve := caller.Server(handler)
+	if p.identity != nil {
+		serve.ErrorLog = p.identity.HTTPLog()
+	}
+	if err := p.listen(address, serve); err != nil || address == "" {
+		return err
+	}
+	if p.identity != nil {
+		last := &p.servers[len(p.servers)-1]
+		last.listener = tls.NewListener(last.listener, p.identity.Server())
+	}
+	return nil
+}
+
 func (p *Process) closeListeners() {
 	for _, s := range p.servers {
 		_ = s.listener.Close()
@@ -67,27 +113,50 @@
 	return done
 }
 
+// addRole has the process run a role.
+func (p *Process) addRole(r role, start func(ctx context.Context) <-chan error) {
+	p.roles = append(p.roles, r)
+	p.start = append(p.start, start)
+}
+
 func (p *Process) buildControl() error {
 	s := p.cfg.Settings
-	role, err := NewControl(ControlConfig{
-		Name: zinniasill.NodeID(s.Name), Peers: p.members, Folder: s.DataFolder, NewCluster: s.NewCluster,
-		Sender: lateSender{p}, Clock: p.clock, Counters: p.metrics, Log: p.log, Rand: newRand(), Lease: s.Lease,
-	})
+	if s.WithEntry {
+		// The entry is stopped first: it needs control until its jobs have ended.
+		if err := p.buildEntryBeside(); err != nil {
+			return err
+		}
+	}
+	link := p.newLink()
+	role, err := p.newControl(zinniasill.NodeID(s.Name), s.NewCluster, link)
 	if err != nil {
 		return err
 	}
-	p.roles = append(p.roles, role)
-	p.start = append(p.start, role.Start)
-	p.metrics.Gauge("control_term", func() float64 { return float64(role.Status().Term) })
-	p.metrics.Gauge("control_commit_index", func() float64 { return float64(role.Status().Commit) })
-	if err := p.listen(s.HTTP, caller.Server(role.Handler())); err != nil {
+	if err := p.listenSecure(s.HTTP, p.require(identity.Operator, role.Handler())); err != nil {
 		return err
 	}
-	return p.openTransport(peer.Config{
+	return p.openTransport(link, peer.Config{
+		Listen: s.Listen, Advertise: s.Advertise,
 		Self: role.Node, Deliver: role.Deliver, Resolve: p.memberAddress,
 	})
 }
 
+func (p *Process) newControl(name zinniasill.NodeID, newCluster bool, link *peer.Loopback) (*Control, error) {
+	s := p.cfg.Settings
+	role, err := NewControl(ControlConfig{
+		Name: name, Peers: p.members, Folder: s.DataFolder, NewCluster: newCluster,
+		Sender: link, Clock: p.clock, Counters: p.metrics, Log: p.log, Rand: newRand(), Lease: s.Lease,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.addRole(role, role.Start)
+	p.join(name, role.Deliver)
+	p.metrics.Gauge("control_term", func() float64 { return float64(role.Status().Term) })
+	p.metrics.Gauge("control_commit_index", func() float64 { return float64(role.Status().Commit) })
+	return role, nil
+}
+
 // resolver returns the address of a node from the settings or the catalog.
 func (p *Process) resolver(keeper *Keeper) func(zinniasill.NodeID) (string, bool) {
 	return func(id zinniasill.NodeID) (string, bool) {
@@ -99,30 +168,60 @@
 	}
 }
 
-func (p *Process) report() catalog.NodeEntry {
+// report returns what a role of this process reports to control.
+func (p *Process) report(name, address string) catalog.NodeEntry {
 	return catalog.NodeEntry{
-		Node:    zinniasill.Node{ID: zinniasill.NodeID(p.cfg.Settings.Name)},
+		Node:    zinniasill.Node{ID: zinniasill.NodeID(name)},
 		Domain:  zinniasill.Domain(p.cfg.Settings.Domain),
-		Address: p.address(),
+		Address: address,
 	}
 }
 
 func (p *Process) buildEntry() error {
 	s := p.cfg.Settings
+	link := p.newLink()
+	role := p.newEntry(p.report(s.Name, p.address()), link)
+	p.watchLease(role.Keeper(), "")
+	if err := p.listenSecure(s.HTTP, p.callers(role)); err != nil {
+		return err
+	}
+	return p.openEntry(role, link, s.Listen, s.Advertise)
+}
+
+// buildEntryBeside adds an entry with addresses of its own to a control process.
+func (p *Process) buildEntryBeside() error {
+	s := p.cfg.Settings
+	link := p.newLink()
+	role := p.newEntry(p.report(s.Name+entrySuffix, s.EntryListen), link)
+	p.watchLease(role.Keeper(), "")
+	if err := p.listenSecure(s.EntryHTTP, p.callers(role)); err != nil {
+		return err
+	}
+	return p.openEntry(role, link, s.EntryListen, "")
+}
+
+func (p *Process) newEntry(report catalog.NodeEntry, link *peer.Loopback) *Entry {
 	random := newRand()
 	role := NewEntry(EntryConfig{
-		Report: p.report(), Replicas: shuffled(random, p.memberNames()), Sender: lateSender{p},
+		Report: report, Replicas: shuffled(random, p.memberNames()), Sender: link,
 		Clock: p.clock, Counters: p.metrics, Log: p.log,
 		Picker: &placement.BetterOfTwo{Rand: random}, Rand: random,
 	})
-	p.roles = append(p.roles, role)
-	p.start = append(p.start, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
-	p.watchLease(role.Keeper())
-	handler := caller.New(caller.Config{Jobs: role, MaxRequests: s.MaxRequests, Counters: p.metrics})
-	if err := p.listen(s.HTTP, caller.Server(handler)); err != nil {
-		return err
-	}
-	return p.openTransport(peer.Config{
+	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
+	p.join(report.Node.ID, role.Deliver)
+	return role
+}
+
+// callers returns the interface for callers.
+func (p *Process) callers(role *Entry) http.Handler {
+	return p.require(identity.Caller, caller.New(caller.Config{
+		Jobs: role, MaxRequests: p.cfg.Settings.MaxRequests, Counters: p.metrics,
+	}))
+}
+
+func (p *Process) openEntry(role *Entry, link *peer.Loopback, listen, advertise string) error {
+	return p.openTransport(link, peer.Config{
+		Listen: listen, Advertise: advertise,
 		Self: role.Keeper().Node, Cluster: role.Keeper().Cluster, Deliver: role.Deliver,
 		Resolve: p.resolver(role.Keeper()),
 		Notify: func(event peer.Event) {
@@ -135,31 +234,43 @@
 
 func (p *Process) buildAgent() error {
 	s := p.cfg.Settings
-	role := NewAgent(AgentConfig{
-		Report: p.report(), Replicas: shuffled(newRand(), p.memberNames()), Sender: lateSender{p},
-		Clock: p.clock, Counters: p.metrics, Log: p.log,
-	})
-	p.roles = append(p.roles, role)
-	p.start = append(p.start, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
-	p.watchLease(role.Keeper())
+	link := p.newLink()
+	role := p.newAgent(p.report(s.Name, p.address()), link)
+	p.watchLease(role.Keeper(), "")
 	if err := p.listen(s.HTTP, caller.Server(role.Handler())); err != nil {
 		return err
 	}
-	return p.openTransport(peer.Config{
+	return p.openTransport(link, peer.Config{
+		Listen: s.Listen, Advertise: s.Advertise,
 		Self: role.Keeper().Node, Cluster: role.Keeper().Cluster, Deliver: role.Deliver,
 		Resolve: p.resolver(role.Keeper()),
 	})
 }
 
-// watchLease serves the state of a node's lease.
-func (p *Process) watchLease(keeper *Keeper) {
-	p.metrics.Gauge("lease_valid", func() float64 {
+func (p *Process) newAgent(report catalog.NodeEntry, link *peer.Loopback) *Agent {
+	role := NewAgent(AgentConfig{
+		Report: report, Replicas: shuffled(newRand(), p.memberNames()), Sender: link,
+		Clock: p.clock, Counters: p.metrics, Log: p.log,
+	})
+	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
+	p.join(report.Node.ID, role.Deliver)
+	return role
+}
+
+// watchLease serves the state of a node's lease. The role is part of the names in
+// a process that holds several leases.
+func (p *Process) watchLease(keeper *Keeper, role settings.Role) {
+	label := ""
+	if role != "" {
+		label = `{role="` + string(role) + `"}`
+	}
+	p.metrics.Gauge("lease_valid"+label, func() float64 {
 		if keeper.Valid(p.clock.Now()) {
 			return 1
 		}
 		return 0
 	})
-	p.metrics.Gauge("catalog_revision", func() float64 { return float64(keeper.Catalog().Revision) })
+	p.metrics.Gauge("catalog_revision"+label, func() float64 { return float64(keeper.Catalog().Revision) })
 }
 
 // shuffled spreads the nodes over the control replicas.
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -23,7 +23,7 @@
 	"zinniasill/core/consensus"
 	"zinniasill/core/control"
 	"zinniasill/core/message"
-	"zinniasill/io/daemon"
+	"zinniasill/io/identity"
 	"zinniasill/io/metrics"
 	"zinniasill/io/peer"
 	"zinniasill/io/settings"
@@ -46,14 +46,19 @@
 
 // Process is one process of the system. Use New.
 type Process struct {
-	cfg       Config
-	log       logrus.FieldLogger
-	clock     zinniasill.Clock
-	metrics   *metrics.Set
-	members   []consensus.Member
-	transport *peer.Transport
-	servers   []server
-	roles     []role
+	cfg     Config
+	log     logrus.FieldLogger
+	clock   zinniasill.Clock
+	metrics *metrics.Set
+	members []consensus.Member
+	// links has the sender of each role, local the receivers.
+	links      []*peer.Loopback
+	local      map[zinniasill.NodeID]func(message.Envelope)
+	transports []*peer.Transport
+	// identity is nil without TLS.
+	identity *identity.Source
+	servers  []server
+	roles    []role
 	// start starts the goroutines of the roles.
 	start []func(ctx context.Context) <-chan error
 }
@@ -119,9 +124,11 @@
 func (p *Process) Run(ctx context.Context) error {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	failed := make(chan error, len(p.servers)+len(p.start)+1)
+	failed := make(chan error, len(p.servers)+len(p.start)+len(p.transports))
 	var ends []<-chan error
-	ends = append(ends, p.transport.Start(life))
+	for _, transport := range p.transports {
+		ends = append(ends, transport.Start(life))
+	}
 	for _, start := range p.start {
 		ends = append(ends, start(life))
 	}
@@ -189,20 +196,46 @@
 	}
 }
 
-// openTransport completes the configuration of the links and opens their listener.
-func (p *Process) openTransport(cfg peer.Config) error {
+// newLink returns the sender of a role that is being built. It reaches the other
+// roles of the process directly, and other processes once openTransport was called.
+func (p *Process) newLink() *peer.Loopback {
+	link := &peer.Loopback{}
+	p.links = append(p.links, link)
+	for id, deliver := range p.local {
+		link.Join(id, deliver)
+	}
+	return link
+}
+
+// join makes a role reachable for the other roles of the process.
+func (p *Process) join(id zinniasill.NodeID, deliver func(message.Envelope)) {
+	p.local[id] = deliver
+	for _, link := range p.links {
+		link.Join(id, deliver)
+	}
+}
+
+// openTransport completes the configuration of a role's links to other processes
+// and opens their listener.
+func (p *Process) openTransport(link *peer.Loopback, cfg peer.Config) error {
 	codec, err := peer.NewCodec(messageTypes()...)
 	if err != nil {
 		return err
 	}
 	cfg.Codec = codec
-	cfg.Listen = p.cfg.Settings.Listen
-	cfg.Advertise = p.cfg.Settings.Advertise
 	cfg.Clock = p.clock
 	cfg.Counters = p.metrics
 	cfg.Seed = uint64(NewIncarnation())
-	p.transport, err = peer.New(cfg)
-	return err
+	if p.identity != nil {
+		cfg.Security = p.identity
+	}
+	transport, err := peer.New(cfg)
+	if err != nil {
+		return err
+	}
+	link.Next = transport
+	p.transports = append(p.transports, transport)
+	return nil
 }
 
 // address returns the address that peers reach this process at.
@@ -229,15 +262,3 @@
 	}
 	return names
 }
-
-// lateSender lets roles be built before the transport that they send with.
-type lateSender struct {
-	process *Process
-}
-
-// Send implements daemon.Sender.
-func (s lateSender) Send(env message.Envelope) {
-	s.process.transport.Send(env)
-}
-
-var _ daemon.Sender = lateSender{}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -35,7 +36,10 @@
 type Client struct {
 	// Addresses are the control replicas as host:port.
 	Addresses []string
-	// HTTP is http.DefaultClient if nil.
+	// Scheme is http if empty.
+	Scheme string
+	// HTTP is http.DefaultClient if nil. It must present an operator's certificate to
+	// a cluster that uses TLS.
 	HTTP *http.Client
 }
 
@@ -154,10 +158,11 @@
 		}
 		data = encoded
 	}
+	scheme := cmp.Or(c.Scheme, "http")
 	var last error
 	for attempt := range rounds * len(c.Addresses) {
 		address := c.Addresses[attempt%len(c.Addresses)]
-		last = c.attempt(ctx, method, "http://"+address+path, data, into)
+		last = c.attempt(ctx, method, scheme+"://"+address+path, data, into)
 		if last == nil || ctx.Err() != nil || !again(last) {
 			return last
 		}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -24,6 +24,7 @@
 	"zinniasill"
 	"zinniasill/core/consensus"
 	"zinniasill/core/control"
+	"zinniasill/io/identity"
 )
 
 // Role selects the settings of one subcommand.
@@ -64,6 +65,13 @@
 	TLSKey      string
 	TLSCA       string
 	Insecure    bool
+	// WithEntry makes a control process run an entry too, with these addresses.
+	WithEntry   bool
+	EntryListen string
+	EntryHTTP   string
+	// EndpointHTTP is the address of the interface for the endpoint in an
+	// all-in-one process; it shares the address HTTP if empty.
+	EndpointHTTP string
 }
 
 // Register adds the flags of a role to a command.
@@ -73,11 +81,10 @@
 	}
 	flag("name", "Name of this process, unique in the cluster.").StringVar(&s.Name)
 	flag("domain", "Failure domain that this process runs in.").StringVar(&s.Domain)
-	flag("listen", "IP address and port for the other processes of the cluster.").StringVar(&s.Listen)
-	flag("advertise", "IP address and port that others reach this process at; the listen address by default.").
-		StringVar(&s.Advertise)
 	flag("metrics", "IP address and port for /metrics, /livez, /readyz and /healthz.").StringVar(&s.Metrics)
-	flag("members", "Control replicas as name=ip:port, separated by commas.").StringVar(&s.Members)
+	if role != RoleAllInOne {
+		registerLinks(flag, s)
+	}
 	flag("stop-timeout", "Longest time for a graceful stop.").Default("30s").DurationVar(&s.StopTimeout)
 	flag("log-level", "debug, info, warning or error.").Default("info").StringVar(&s.LogLevel)
 	flag("log-format", "text or json.").Default("text").StringVar(&s.LogFormat)
@@ -95,13 +102,50 @@
 	flag("http", httpHelp[role]).StringVar(&s.HTTP)
 	if role == RoleControl || role == RoleAllInOne {
 		flag("data", "Data folder.").StringVar(&s.DataFolder)
-		flag("new-cluster", "Form a new cluster when no listed member has state.").BoolVar(&s.NewCluster)
 		flag("lease", "Length of the leases of entries and agents.").
 			Default(control.DefaultLeaseLength.String()).DurationVar(&s.Lease)
 	}
-	if role == RoleEntry || role == RoleAllInOne {
+	if role != RoleAgent {
 		flag("max-requests", "Highest number of callers' requests in progress.").Default("4096").IntVar(&s.MaxRequests)
 	}
+	if role == RoleControl {
+		registerCluster(flag, s)
+	}
+	if role == RoleAllInOne {
+		flag("endpoint-http", "Loopback IP address and port of the interface for the endpoint; shares --http by default.").
+			StringVar(&s.EndpointHTTP)
+	}
+}
+
+// registerCluster adds the flags that only a control replica has.
+func registerCluster(flag func(name, help string) *kingpin.FlagClause, s *Settings) {
+	flag("new-cluster", "Form a new cluster when no listed member has state.").BoolVar(&s.NewCluster)
+	flag("with-entry", "Run an entry in this process too, named like it with -entry behind.").BoolVar(&s.WithEntry)
+	flag("entry-listen", "IP address and port of that entry for the other processes.").StringVar(&s.EntryListen)
+	flag("entry-http", "IP address and port of that entry's interface for callers.").StringVar(&s.EntryHTTP)
+}
+
+// registerLinks adds the flags of processes that have links to others.
+func registerLinks(flag func(name, help string) *kingpin.FlagClause, s *Settings) {
+	flag("listen", "IP address and port for the other processes of the cluster.").StringVar(&s.Listen)
+	flag("advertise", "IP address and port that others reach this process at; the listen address by default.").
+		StringVar(&s.Advertise)
+	flag("members", "Control replicas as name=ip:port, separated by commas.").StringVar(&s.Members)
+}
+
+// Files returns the TLS files.
+func (s *Settings) Files() identity.Files {
+	return identity.Files{Cert: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA}
+}
+
+// RegisterTLS adds the TLS flags of a command that is a client of the system.
+func RegisterTLS(cmd *kingpin.CmdClause, files *identity.Files) {
+	flag := func(name, help string) *kingpin.FlagClause {
+		return cmd.Flag(name, help).Envar("ZINNIASILL_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
+	}
+	flag("tls-cert", "File with the client certificate.").StringVar(&files.Cert)
+	flag("tls-key", "File with the private key of the client certificate.").StringVar(&files.Key)
+	flag("tls-ca", "File with the certificates of the authorities of the cluster.").StringVar(&files.CA)
 }
 
 // Finding is one problem of the settings, with the flag that has it.
@@ -132,7 +176,7 @@
 	if !control.ValidName(s.Name) {
 		found.add("name", "%q is not a name of letters, digits, '-', '_' and '.'", s.Name)
 	}
-	if role != RoleControl && !control.ValidName(s.Domain) {
+	if (role != RoleControl || s.WithEntry) && !control.ValidName(s.Domain) {
 		found.add("domain", "%q is not a name of letters, digits, '-', '_' and '.'", s.Domain)
 	}
 	s.checkAddresses(&found, role)
@@ -140,7 +184,7 @@
 	if role == RoleControl || role == RoleAllInOne {
 		s.checkControl(&found)
 	}
-	if (role == RoleEntry || role == RoleAllInOne) && s.MaxRequests < 1 {
+	if (role == RoleEntry || role == RoleAllInOne || s.WithEntry) && s.MaxRequests < 1 {
 		found.add("max-requests", "%d is below 1", s.MaxRequests)
 	}
 	if s.StopTimeout <= 0 || s.StopTimeout > maxStop {
@@ -172,6 +216,29 @@
 	check("advertise", s.Advertise, false)
 	check("http", s.HTTP, true)
 	check("metrics", s.Metrics, false)
+	if role == RoleControl {
+		check("entry-listen", s.EntryListen, s.WithEntry)
+		check("entry-http", s.EntryHTTP, s.WithEntry)
+	}
+	if role == RoleAllInOne {
+		// The endpoint speaks plain HTTP, which cannot share a listener with TLS.
+		check("endpoint-http", s.EndpointHTTP, s.TLSCert != "")
+	}
+	beside := map[Role]string{RoleAgent: s.HTTP, RoleAllInOne: s.EndpointHTTP}[role]
+	if beyondLoopback(beside) {
+		flag := map[Role]string{RoleAgent: "http", RoleAllInOne: "endpoint-http"}[role]
+		found.add(flag, "%s is not a loopback address; the endpoint speaks plain HTTP", beside)
+	}
+}
+
+// beyondLoopback reports whether a valid address is not a loopback address.
+func beyondLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && !ip.IsLoopback()
 }
 
 // addressProblem returns why a text is no IP address with a port, or "".
@@ -272,13 +339,10 @@
 func (s *Settings) checkLoopback(found *FindingErrors) {
 	addresses := map[string]string{
 		"listen": s.Listen, "advertise": s.Advertise, "http": s.HTTP, "metrics": s.Metrics,
+		"entry-listen": s.EntryListen, "entry-http": s.EntryHTTP,
 	}
-	for _, flag := range []string{"listen", "advertise", "http", "metrics"} {
-		host, _, err := net.SplitHostPort(addresses[flag])
-		if err != nil {
-			continue
-		}
-		if ip := net.ParseIP(host); ip != nil && !ip.IsLoopback() {
+	for _, flag := range []string{"listen", "advertise", "http", "metrics", "entry-listen", "entry-http"} {
+		if beyondLoopback(addresses[flag]) {
 			found.add("insecure-loopback", "--%s %s is not a loopback address", flag, addresses[flag])
 		}
 	}
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -25,17 +25,26 @@
 		change func(s *settings.Settings)
 		want   []string
 	}{
-		"valid":            {role: settings.RoleControl, change: func(*settings.Settings) {}},
-		"name":             {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Name = "a b" }, want: []string{"--name"}},
-		"host name":        {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "localhost:1" }, want: []string{"--http"}},
-		"port":             {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "127.0.0.1:99999" }, want: []string{"--http"}},
-		"not listed":       {role: settings.RoleControl, change: func(s *settings.Settings) { s.Name = "control-9" }, want: []string{"--members"}},
-		"listed twice":     {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Members = "a=127.0.0.1:1,a=127.0.0.1:2" }, want: []string{"twice"}},
-		"lease too long":   {role: settings.RoleControl, change: func(s *settings.Settings) { s.Lease = time.Minute }, want: []string{"--lease"}},
-		"not loopback":     {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "10.0.0.1:80" }, want: []string{"--insecure-loopback"}},
-		"no TLS":           {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Insecure = false }, want: []string{"--tls-cert"}},
-		"half of TLS":      {role: settings.RoleEntry, change: func(s *settings.Settings) { s.TLSCert = "c" }, want: []string{"--tls-key", "--tls-ca"}},
-		"all of them":      {role: settings.RoleControl, change: func(s *settings.Settings) { *s = settings.Settings{} }, want: []string{"--name", "--listen", "--http", "--members", "--data", "--lease", "--stop-timeout", "--log-level", "--log-format", "--tls-cert"}},
+		"valid":          {role: settings.RoleControl, change: func(*settings.Settings) {}},
+		"name":           {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Name = "a b" }, want: []string{"--name"}},
+		"host name":      {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "localhost:1" }, want: []string{"--http"}},
+		"port":           {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "127.0.0.1:99999" }, want: []string{"--http"}},
+		"not listed":     {role: settings.RoleControl, change: func(s *settings.Settings) { s.Name = "control-9" }, want: []string{"--members"}},
+		"listed twice":   {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Members = "a=127.0.0.1:1,a=127.0.0.1:2" }, want: []string{"twice"}},
+		"lease too long": {role: settings.RoleControl, change: func(s *settings.Settings) { s.Lease = time.Minute }, want: []string{"--lease"}},
+		"not loopback":   {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "10.0.0.1:80" }, want: []string{"--insecure-loopback"}},
+		"no TLS":         {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Insecure = false }, want: []string{"--tls-cert"}},
+		"half of TLS":    {role: settings.RoleEntry, change: func(s *settings.Settings) { s.TLSCert = "c" }, want: []string{"--tls-key", "--tls-ca"}},
+		"all of them":    {role: settings.RoleControl, change: func(s *settings.Settings) { *s = settings.Settings{} }, want: []string{"--name", "--listen", "--http", "--members", "--data", "--lease", "--stop-timeout", "--log-level", "--log-format", "--tls-cert"}},
+		"entry beside":   {role: settings.RoleControl, change: func(s *settings.Settings) { s.WithEntry, s.Domain = true, "" }, want: []string{"--entry-listen", "--entry-http", "--domain"}},
+		"entry address": {role: settings.RoleControl, change: func(s *settings.Settings) {
+			s.WithEntry, s.EntryListen, s.EntryHTTP = true, "10.0.0.1:1", "127.0.0.1:1"
+		}, want: []string{"--insecure-loopback: --entry-listen"}},
+		"all-in-one":       {role: settings.RoleAllInOne, change: func(s *settings.Settings) { s.Listen, s.Members = "", "" }},
+		"endpoint and TLS": {role: settings.RoleAllInOne, change: func(s *settings.Settings) { s.Insecure, s.TLSCert, s.TLSKey, s.TLSCA = false, "c", "k", "a" }, want: []string{"--endpoint-http"}},
+		"endpoint beyond": {role: settings.RoleAgent, change: func(s *settings.Settings) {
+			s.Insecure, s.TLSCert, s.TLSKey, s.TLSCA, s.HTTP = false, "c", "k", "a", "10.0.0.1:1"
+		}, want: []string{"--http: 10.0.0.1:1 is not a loopback"}},
 		"folder is needed": {role: settings.RoleControl, change: func(s *settings.Settings) { s.DataFolder = "" }, want: []string{"--data"}},
 	}
 	for name, tt := range tests {
