Say at once that a caller's certificate lacks the right

Cause: a trial with an operator's certificate showed the client package asking for an epoch until its time was over, with the error 'context deadline exceeded'. Change: status 403 ends the question for the epoch and 'job status' with the refusal of the entry. Conclusion: the test sees one request and the code wrong-right.

--- a/client/client.go
+++ b/client/client.go
@@ -42,7 +42,8 @@
 	// a refusal that may be retried. Waiting for a job in progress is not bounded
 	// but by the context.
 	Attempts int
-	// Transport is used for the requests if set. It must not retry requests.
+	// Transport is used for the requests if set. It must not retry requests. TLS
+	// returns one that presents a certificate.
 	Transport http.RoundTripper
 	// Rand is the source of the jitter, seeded at random if nil.
 	Rand *rand.Rand
@@ -78,6 +79,9 @@
 
 // Error implements error.
 func (e *RefusalError) Error() string {
+	if e.Key == "" {
+		return e.RefusalError.Error()
+	}
 	return "job " + e.Key + " " + e.RefusalError.Error()
 }
 
@@ -132,6 +136,11 @@
 		if err == nil && epoch != 0 {
 			return epoch, nil
 		}
+		var refusal *RefusalError
+		if errors.As(err, &refusal) {
+			// The certificate lacks the right, which no attempt can change.
+			return 0, err
+		}
 		last = err
 		c.moveOn()
 		if err := c.pause(ctx, attempt, 0); err != nil {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// TestWithoutRight guards against a client that repeats a request until its time is
+// over when its certificate lacks the right, and hides why.
+func TestWithoutRight(t *testing.T) {
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		w.WriteHeader(http.StatusForbidden)
+		_, _ = fmt.Fprint(w, `{"code":"wrong-right","ran":"unknown","retry":"none","message":"no caller"}`)
+	}))
+	defer server.Close()
+	c := client.New(client.Config{Entries: []string{server.URL}, Team: "t"})
+	defer c.Close()
+	for name, epoch := range map[string]zinniasill.Epoch{"without stamp": 0, "with stamp": 3} {
+		asked = 0
+		_, err := c.Submit(t.Context(), client.Job{Key: "k", Epoch: epoch, Profile: "p", Tasks: [][]byte{[]byte("in")}})
+		var refusal *client.RefusalError
+		if !errors.As(err, &refusal) || refusal.Code != "wrong-right" || asked != 1 {
+			t.Errorf("%s: error %v after %d requests", name, err, asked)
+		}
+	}
+}
+
 // ExampleClient_Submit submits a job of one task and tells a refusal that is safe
 // to act on from one that is not.
 func ExampleClient_Submit() {
--- a/client/request.go
+++ b/client/request.go
@@ -87,11 +87,15 @@
 	case answer.Code == "":
 		return reply{}, eris.Errorf("submit job %s to %s: status %d without a code", job.Key, entry, status)
 	default:
-		return reply{refusal: &RefusalError{
-			Key: job.Key, Retry: answer.Retry,
-			RetryAfter:   time.Duration(answer.RetryAfterMS) * time.Millisecond,
-			RefusalError: zinniasill.RefusalError{Code: answer.Code, Ran: answer.Ran, Message: answer.Message},
-		}}, nil
+		return reply{refusal: answer.refusal(job.Key)}, nil
+	}
+}
+
+func (a answerBody) refusal(key string) *RefusalError {
+	return &RefusalError{
+		Key: key, Retry: a.Retry,
+		RetryAfter:   time.Duration(a.RetryAfterMS) * time.Millisecond,
+		RefusalError: zinniasill.RefusalError{Code: a.Code, Ran: a.Ran, Message: a.Message},
 	}
 }
 
@@ -100,7 +104,10 @@
 	if err != nil {
 		return 0, eris.Wrapf(err, "ask %s for the epoch", entry)
 	}
-	_, answer, err := c.do(ctx, request, c.cfg.Silence)
+	status, answer, err := c.do(ctx, request, c.cfg.Silence)
+	if err == nil && status == http.StatusForbidden {
+		return 0, answer.refusal("")
+	}
 	return answer.Epoch, eris.Wrapf(err, "ask %s for the epoch", entry)
 }
 
--- a/cmd/zinniasill/job.go
+++ b/cmd/zinniasill/job.go
@@ -115,6 +115,9 @@
 			last = eris.Errorf("%s has no record of job %s", entry, key)
 			continue
 		}
+		if status == http.StatusForbidden {
+			return eris.Errorf("%s refused: %s", entry, body)
+		}
 		_, err = os.Stdout.Write(append(body, '\n'))
 		return err
 	}
