Test the endpoint interface and order its changes

Cause: io/endpoint had no tests. They found two faults. An expiry could be reported after the announcement that ended it, which left the agent without an endpoint until the next change. Data after the JSON object of an announcement, and a URL with a query or fragment, were accepted.

Change: a lock is held from a change of the announced state until Changed has returned; both kinds of bad announcement are refused. Tests cover late, crossed, oversized, cut and missing answers, redirects, announcements, expiry and connection reuse, under goleak.

Resends: eight ways of cutting a reused connection, each with an empty, a short and a 64 KiB payload, cause no second request. net/http resends a request after bytes were written only when it takes it for idempotent, so a POST is safe without an Idempotency-Key header; clearing GetBody alone protects only non-empty payloads against such a header. A control test shows that the same server provokes a resend. Ruled out: setting GetBody again. It would save runs whose request was never written, but would leave the method as the only guard.

Conclusion: the transport sends a run request at most once, and connections are reused up to the slots.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -62,7 +63,8 @@
 type Config struct {
 	Clock    zinniasill.Clock
 	Counters zinniasill.Counters
-	// Changed is called when the announced state changed. It must not block.
+	// Changed is called when the announced state changed, one call at a time and in
+	// the order of the changes. It must not call the Endpoint.
 	Changed func(Announcement)
 }
 
@@ -71,9 +73,13 @@
 	cfg    Config
 	client *http.Client
 
-	mu    sync.Mutex
-	known Announcement
-	heard time.Time
+	// changing is held from a change of known until Changed has returned. Without it
+	// an expiry could be reported after the announcement that ended it, and the
+	// agent would have no endpoint until the next change.
+	changing sync.Mutex
+	mu       sync.Mutex
+	known    Announcement
+	heard    time.Time
 }
 
 // New returns an endpoint that has not announced itself.
@@ -105,10 +111,16 @@
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		http.Error(w, "announcement: data after the JSON object", http.StatusBadRequest)
+		return
+	}
 	if problems := body.check(); len(problems) > 0 {
 		http.Error(w, "announcement: "+strings.Join(problems, "; "), http.StatusBadRequest)
 		return
 	}
+	e.changing.Lock()
+	defer e.changing.Unlock()
 	e.mu.Lock()
 	changed := !body.equal(e.known)
 	e.known = body
@@ -122,7 +134,9 @@
 
 func (a Announcement) check() []string {
 	var problems []string
-	if parsed, err := url.Parse(a.URL); err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+	// The path of a run is appended to the URL, so a query or fragment would hide it.
+	if parsed, err := url.Parse(a.URL); err != nil || parsed.Scheme != "http" || parsed.Host == "" ||
+		strings.ContainsAny(a.URL, "?#") {
 		problems = append(problems, fmt.Sprintf("url: %q is not of the form http://ip:port", a.URL))
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
@@ -150,6 +164,8 @@
 // Expire forgets an endpoint that has not announced itself for Expiry and calls
 // Changed with the zero Announcement.
 func (e *Endpoint) Expire(now time.Time) {
+	e.changing.Lock()
+	defer e.changing.Unlock()
 	e.mu.Lock()
 	gone := e.known.Slots > 0 && now.Sub(e.heard) >= Expiry
 	if gone {
@@ -172,7 +188,9 @@
 	if err != nil {
 		return e.failed(reasonNoAnswer, err.Error())
 	}
-	// Without GetBody the transport cannot send the request a second time.
+	// When a reused connection ends without an answer, the transport resends a
+	// request that it takes for idempotent. A POST is one only with an
+	// Idempotency-Key header and a body that GetBody can read again.
 	request.GetBody = nil
 	request.Header.Set("Task-Id", id)
 	request.Header.Set("Profile", string(task.Profile))
--- /dev/null
+++ b/io/endpoint/endpoint_test.go
@@ -0,0 +1,296 @@
+package endpoint_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"zinniasill"
+	"zinniasill/io/endpoint"
+)
+
+// TestRunAnswers guards against an answer that is not whole or not the task's own
+// being taken for an output, and against an unusable answer counting as a run
+// with a known outcome.
+func TestRunAnswers(t *testing.T) {
+	const id = "team/x/3"
+	tests := map[string]struct {
+		answer  http.HandlerFunc
+		ok      bool
+		ran     zinniasill.Ran
+		counted zinniasill.Reason
+	}{
+		"own answer":   {answer: echo, ok: true, ran: zinniasill.DidRun},
+		"empty output": {answer: answerWith(id, http.StatusOK, nil), ok: true, ran: zinniasill.DidRun},
+		"largest output": {
+			answer: answerWith(id, http.StatusOK, make([]byte, endpoint.MaxOutput)), ok: true, ran: zinniasill.DidRun,
+		},
+		"oversized output": {
+			answer: answerWith(id, http.StatusOK, make([]byte, endpoint.MaxOutput+1)),
+			ran:    zinniasill.RanUnknown, counted: "answer-too-large",
+		},
+		"crossed answer": {
+			answer: answerWith("team/y/3", http.StatusOK, []byte("other")),
+			ran:    zinniasill.RanUnknown, counted: "crossed-answer",
+		},
+		"crossed failure": {
+			answer: answerWith("team/y/3", http.StatusInternalServerError, []byte("other")),
+			ran:    zinniasill.RanUnknown, counted: "crossed-answer",
+		},
+		"answer without task id": {
+			answer: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("whose?")) },
+			ran:    zinniasill.RanUnknown, counted: "crossed-answer",
+		},
+		"cut output": {answer: cutOutput, ran: zinniasill.RanUnknown, counted: "answer-incomplete"},
+		"no answer": {
+			answer: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			ran:    zinniasill.RanUnknown, counted: "no-answer",
+		},
+		"failure":       {answer: answerWith(id, http.StatusUnprocessableEntity, []byte("no ink")), ran: zinniasill.DidRun},
+		"other success": {answer: answerWith(id, http.StatusAccepted, []byte("later")), ran: zinniasill.DidRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			f := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				test.answer(w, r)
+			})
+			outcome := f.run("x")
+			if outcome.OK != test.ok || outcome.Ran != test.ran {
+				t.Errorf("outcome is %t, %s: %s", outcome.OK, outcome.Ran, outcome.Error)
+			}
+			if !test.ok && (outcome.Error == "" || len(outcome.Output) > 0) {
+				t.Errorf("a failure has error %q and %d bytes of output", outcome.Error, len(outcome.Output))
+			}
+			if test.counted != "" && f.counters.of(test.counted) != 1 {
+				t.Errorf("%s counted %d times", test.counted, f.counters.of(test.counted))
+			}
+			if runs.Load() != 1 {
+				t.Errorf("%d requests for one run", runs.Load())
+			}
+		})
+	}
+}
+
+func answerWith(id string, status int, output []byte) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Task-Id", id)
+		w.WriteHeader(status)
+		_, _ = w.Write(output)
+	}
+}
+
+// cutOutput announces more output than it sends.
+func cutOutput(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Task-Id", r.Header.Get("Task-Id"))
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("half"))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// TestRunRequest guards against a run that the endpoint cannot attribute.
+func TestRunRequest(t *testing.T) {
+	var got *http.Request
+	var body bytes.Buffer
+	f := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r
+		_, _ = body.ReadFrom(r.Body)
+		echo(w, r)
+	})
+	f.run("x")
+	if got.Method != http.MethodPost || got.URL.Path != "/run" || got.Header.Get("Task-Id") != "team/x/3" ||
+		got.Header.Get("Profile") != "proof" || body.String() != "payload" {
+		t.Errorf("request is %s %s %v with body %q", got.Method, got.URL, got.Header, body.String())
+	}
+}
+
+// TestLateAnswer guards against the answer to a run that was given up reaching
+// the next run.
+func TestLateAnswer(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	f := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.Header.Get("Task-Id"), "slow") {
+			close(arrived)
+			<-release
+		}
+		echo(w, r)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	late := make(chan zinniasill.Outcome, 1)
+	go func() { late <- f.Run(ctx, task("slow", "payload")) }()
+	<-arrived
+	cancel()
+	if outcome := <-late; outcome.OK || outcome.Ran != zinniasill.RanUnknown {
+		t.Errorf("the run that was given up has outcome %+v", outcome)
+	}
+	close(release)
+	for range 20 {
+		if outcome := f.run("next"); string(outcome.Output) != "done team/next/3" {
+			t.Fatalf("the next run has outcome %+v", outcome)
+		}
+	}
+}
+
+// TestConcurrentRuns guards against answers that cross between concurrent runs on
+// reused connections, and against more connections than slots.
+func TestConcurrentRuns(t *testing.T) {
+	const slots, waves = 10, 20
+	var arrived sync.WaitGroup
+	server := newCounted(func(w http.ResponseWriter, r *http.Request) {
+		// All runs of a wave are in flight before the first is answered.
+		arrived.Done()
+		arrived.Wait()
+		echo(w, r)
+	})
+	t.Cleanup(server.Close)
+	f := newFixture()
+	f.announce(t, announcement(server.URL))
+	for wave := range waves {
+		arrived.Add(slots)
+		var done sync.WaitGroup
+		for slot := range slots {
+			client := string(rune('a'+slot)) + string(rune('a'+wave))
+			done.Go(func() {
+				if got := f.run(client); string(got.Output) != "done team/"+client+"/3" {
+					t.Errorf("run %s has outcome %+v", client, got)
+				}
+			})
+		}
+		done.Wait()
+	}
+	if opened := server.opened.Load(); opened != slots {
+		t.Errorf("%d connections for %d slots", opened, slots)
+	}
+}
+
+// TestMalformedAnnouncements guards against an announcement that is taken over in
+// part, and against findings that are reported one at a time.
+func TestMalformedAnnouncements(t *testing.T) {
+	tests := map[string]struct {
+		body     string
+		findings []string
+	}{
+		"everything wrong": {
+			body:     `{"url":"ftp://h","slots":0,"kinds":["A B","press"],"state":"up"}`,
+			findings: []string{"url:", "slots: 0", `kinds: "A B"`, `state: "up"`},
+		},
+		"nothing given":  {body: `{}`, findings: []string{"url:", "slots: 0", "kinds: at least one", `state: ""`}},
+		"too many slots": {body: `{"url":"http://h:1","slots":100001,"kinds":["k"],"state":"serving"}`, findings: []string{"slots: 100001"}},
+		"no host":        {body: `{"url":"http://","slots":1,"kinds":["k"],"state":"serving"}`, findings: []string{"url:"}},
+		"query in URL":   {body: `{"url":"http://h:1?x=","slots":1,"kinds":["k"],"state":"serving"}`, findings: []string{"url:"}},
+		"unknown field":  {body: `{"url":"http://h:1","slot":1}`, findings: []string{`unknown field "slot"`}},
+		"wrong type":     {body: `{"slots":"many"}`, findings: []string{"slots"}},
+		"not JSON":       {body: `url=http`, findings: []string{"invalid character"}},
+		"cut":            {body: `{"url":"http://h:1",`, findings: []string{"unexpected EOF"}},
+		"empty":          {body: ``, findings: []string{"EOF"}},
+		"oversized":      {body: `{"url":"` + strings.Repeat("x", 17<<10) + `"}`, findings: []string{"too large"}},
+		"two documents":  {body: `{"url":"http://h:1","slots":1,"kinds":["k"],"state":"serving"}{}`, findings: []string{"after"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			status, text := f.put(test.body)
+			if status != http.StatusBadRequest {
+				t.Errorf("status %d", status)
+			}
+			for _, finding := range test.findings {
+				if !strings.Contains(text, finding) {
+					t.Errorf("%q lacks the finding %q", text, finding)
+				}
+			}
+			if len(f.changes) > 0 {
+				t.Errorf("took over %+v", <-f.changes)
+			}
+		})
+	}
+}
+
+// TestAnnouncementChanges guards against missed and repeated changes, and against
+// an endpoint that is gone too early, too late or for good.
+func TestAnnouncementChanges(t *testing.T) {
+	f := newFixture()
+	expect := func(step string, want ...endpoint.Announcement) {
+		t.Helper()
+		if len(f.changes) != len(want) {
+			t.Fatalf("%s: %d changes, want %d", step, len(f.changes), len(want))
+		}
+		for _, w := range want {
+			if got := <-f.changes; got.URL != w.URL || got.Slots != w.Slots || got.State != w.State {
+				t.Errorf("%s: change to %+v, want %+v", step, got, w)
+			}
+		}
+	}
+	first := announcement("http://h:1")
+	f.Expire(f.clock.advance(time.Hour))
+	expect("never announced")
+	f.announce(t, first)
+	expect("first", first)
+	f.announce(t, first)
+	expect("repeated")
+	leaving := first
+	leaving.State = "leaving"
+	f.announce(t, leaving)
+	expect("leaving", leaving)
+	f.Expire(f.clock.advance(endpoint.Expiry - 1))
+	expect("just before expiry")
+	f.announce(t, leaving)
+	f.Expire(f.clock.advance(endpoint.Expiry - 1))
+	expect("renewed")
+	f.Expire(f.clock.advance(1))
+	expect("expired", endpoint.Announcement{})
+	f.Expire(f.clock.advance(time.Hour))
+	expect("expired once")
+	if outcome := f.run("x"); outcome.OK {
+		t.Errorf("a run without an endpoint has outcome %+v", outcome)
+	}
+	f.announce(t, leaving)
+	expect("back", leaving)
+}
+
+// TestChangesInOrder guards against an expiry that is reported after the
+// announcement that ended it: the agent would then have no endpoint.
+func TestChangesInOrder(t *testing.T) {
+	for range 200 {
+		expireWhileAnnounced(t)
+	}
+}
+
+func expireWhileAnnounced(t *testing.T) {
+	t.Helper()
+	expiring, release := make(chan struct{}), make(chan struct{})
+	var mu sync.Mutex
+	var last endpoint.Announcement
+	c := &clock{now: time.Unix(1000, 0)}
+	e := endpoint.New(endpoint.Config{Clock: c, Counters: &counters{}, Changed: func(a endpoint.Announcement) {
+		if a.Slots == 0 {
+			close(expiring)
+			<-release
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		last = a
+	}})
+	f := &fixture{Endpoint: e}
+	f.announce(t, announcement("http://h:1"))
+	now := c.advance(endpoint.Expiry)
+	var done sync.WaitGroup
+	done.Go(func() { e.Expire(now) })
+	<-expiring
+	done.Go(func() { f.announce(t, announcement("http://h:1")) })
+	// The announcement may or may not be handled before the expiry is released; the
+	// repetition covers both orders.
+	runtime.Gosched()
+	close(release)
+	done.Wait()
+	if last.Slots == 0 {
+		t.Fatal("the expiry was reported last")
+	}
+}
