Ask the registers of all epochs at an agent in one message

Cause: a job asks one register for each epoch in the retention window.

Change: claim messages of one step to one agent leave as a ClaimBatch and are answered by one ClaimReplies. Skipping the epochs before a submission's stamp was ruled out: a caller that stamps a resubmission anew would run its job twice within the window. Merging equal groups of several epochs was ruled out: entries with different windows would ask different registers.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -187,6 +187,12 @@
 		a.send(env.From, answer)
 		return
 	}
+	if batch, ok := env.Body.(message.ClaimBatch); ok {
+		if answers, ok := a.acceptor.AnswerAll(batch); ok {
+			a.send(env.From, answers)
+		}
+		return
+	}
 	switch body := env.Body.(type) {
 	case message.Offer:
 		a.offer(now, env.From, body)
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -165,7 +165,7 @@
 func (c *Coordinator) Outbox() []message.Envelope {
 	out := c.outbox
 	c.outbox = nil
-	return out
+	return claim.Batch(out)
 }
 
 // Replies returns and clears the answers to waiting callers.
@@ -202,6 +202,10 @@
 	switch body := env.Body.(type) {
 	case message.ClaimReply:
 		c.claimReply(now, env.From, body)
+	case message.ClaimReplies:
+		for _, reply := range body.Replies {
+			c.claimReply(now, env.From, reply)
+		}
 	case message.OfferReply:
 		c.views.Report(now, env.From, body.Load)
 		c.statuses(now, env.From, body.Key, body.Term, body.Tasks)
--- a/core/job/fake_test.go
+++ b/core/job/fake_test.go
@@ -98,6 +98,10 @@
 		return
 	}
 	switch b := body.(type) {
+	case message.ClaimBatch:
+		if replies, ok := a.acceptor.AnswerAll(b); ok {
+			a.send(a.node, from, replies)
+		}
 	case message.Offer:
 		a.offer(from, b)
 	case message.Grant:
--- a/core/job/takeover_test.go
+++ b/core/job/takeover_test.go
@@ -286,3 +286,27 @@
 		t.Fatalf("%.2f messages per task", perTask)
 	}
 }
+
+// TestClaimMessagesForManyEpochs guards against a claim whose messages grow with the
+// number of retained epochs while their members stay the same.
+func TestClaimMessagesForManyEpochs(t *testing.T) {
+	w := newWorld(1, 30, 10, 1)
+	for range 15 {
+		w.change(w.newEpoch)
+	}
+	w.spread()
+	w.submit(w.entries[0], "a", "proof", 1)
+	sent := 0
+	for ; len(w.flight) > 0; sent++ {
+		w.deliver(0)
+	}
+	for _, agent := range w.agents {
+		agent.finish()
+	}
+	w.settleAll(time.Second)
+	w.complete(t, 1)
+	// Six messages for the claim on three members, an offer and its answer.
+	if sent > 8 {
+		t.Fatalf("%d messages up to the start of the task", sent)
+	}
+}
--- a/core/message/claim.go
+++ b/core/message/claim.go
@@ -91,3 +91,15 @@
 	// Expired is true when the register's epoch has left the retention window.
 	Expired bool `cbor:"9,keyasint,omitempty"`
 }
+
+// ClaimBatch carries several claim messages to one agent. A job asks the registers
+// of all epochs in the retention window, which mostly have the same members.
+type ClaimBatch struct {
+	// Requests are ClaimFast, ClaimPrepare, ClaimAccept and ClaimRead values.
+	Requests []any `cbor:"1,keyasint"`
+}
+
+// ClaimReplies answers a ClaimBatch.
+type ClaimReplies struct {
+	Replies []ClaimReply `cbor:"1,keyasint"`
+}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -57,6 +57,8 @@
 		{Number: 16, Sample: message.Result{}, Class: Bulk},
 		{Number: 17, Sample: message.ResultAck{}},
 		{Number: 18, Sample: message.Attach{}},
+		{Number: 30, Sample: message.ClaimBatch{}},
+		{Number: 31, Sample: message.ClaimReplies{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
 	}
 }
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -68,6 +68,21 @@
 	anyOf[message.ResultAck](),
 	anyOf[message.Attach](),
 	anyOf[message.AttachReply](),
+	claimBatch,
+	anyOf[message.ClaimReplies](),
+}
+
+// claimBatch draws a batch, whose requests have their types on the wire.
+func claimBatch(t *rapid.T) any {
+	draws := []func(*rapid.T) any{
+		anyOf[message.ClaimFast](), anyOf[message.ClaimPrepare](), anyOf[message.ClaimAccept](), anyOf[message.ClaimRead](),
+	}
+	var batch message.ClaimBatch
+	for range rapid.IntRange(1, 4).Draw(t, "requests") {
+		draw := rapid.SampledFrom(draws).Draw(t, "type")
+		batch.Requests = append(batch.Requests, draw(t))
+	}
+	return batch
 }
 
 // plain renders a value with nil and empty collections alike, because the wire
