Let operators add and remove control replicas without an instance

Cause: a trial of 'member add' and 'member remove' ended with 'instance: must be a hexadecimal number of 64 bits'. The interface required an instance, which the commands do not have, which an operator cannot know of a replica that has not started, and which the log does not use. Change: an empty instance is accepted, a malformed one is refused as before. Ruled out: a made-up instance sent by the commands.

--- a/io/operator/body.go
+++ b/io/operator/body.go
@@ -207,9 +207,11 @@
 // MemberChange adds or removes one control replica. Applying it twice has no
 // effect, so it needs no request id.
 type MemberChange struct {
-	Action   Action `json:"action"`
-	Name     string `json:"name"`
-	Instance string `json:"instance"`
+	Action Action `json:"action"`
+	Name   string `json:"name"`
+	// Instance is checked for its form and not used: a change concerns all instances
+	// of a name, and an operator cannot know that of a replica to come.
+	Instance string `json:"instance,omitempty"`
 	Address  string `json:"address"`
 }
 
@@ -228,7 +230,7 @@
 	if !control.ValidName(change.Name) {
 		checked = append(checked, control.Finding{Field: "name", Problem: "is missing or not well formed"})
 	}
-	if _, err := strconv.ParseUint(change.Instance, 16, 64); err != nil {
+	if _, err := strconv.ParseUint(change.Instance, 16, 64); err != nil && change.Instance != "" {
 		checked = append(checked, control.Finding{Field: "instance", Problem: "must be a hexadecimal number of 64 bits"})
 	}
 	if change.Action == ActionAdd && change.Address == "" {
