Test the agent's rules one by one

Cause: fetches, results, queue order, eviction, epoch expiry, Restart, Idle, misdirected messages and the last check before a start had no tests of their own.

Ruled out: one more property test; a rule's time limits are clearer as steps.

--- /dev/null
+++ b/core/agent/record_test.go
@@ -0,0 +1,253 @@
+package agent_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/agent"
+	"zinniasill/core/catalog"
+	"zinniasill/core/message"
+)
+
+func offerOf(team zinniasill.Team, client string, expected time.Duration) message.Offer {
+	o := offer(client, 1, ref(0, 1))
+	o.Key.Team = team
+	o.ExpectedRunTime = expected
+	return o
+}
+
+// TestQueueOrder guards against a team that starves others, long tasks ahead of
+// short ones, and long tasks that short ones overtake for ever.
+func TestQueueOrder(t *testing.T) {
+	type arrival struct {
+		team     zinniasill.Team
+		client   string
+		expected time.Duration
+		after    time.Duration
+	}
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		arrivals []arrival
+		want     string
+	}{
+		"round robin over teams": {
+			arrivals: []arrival{{"x", "1", ms, 0}, {"x", "2", ms, 0}, {"x", "3", ms, 0}, {"y", "4", ms, 0}, {"z", "5", ms, 0}},
+			want:     "1 4 5 2 3",
+		},
+		"short tasks of one team do not overtake another team": {
+			arrivals: []arrival{{"x", "1", 900 * ms, 0}, {"y", "2", ms, 0}, {"y", "3", ms, 0}, {"x", "4", 800 * ms, 0}},
+			want:     "4 2 1 3",
+		},
+		"shortest first": {
+			arrivals: []arrival{{"x", "1", 30 * ms, 0}, {"x", "2", 10 * ms, 0}, {"x", "3", 20 * ms, 0}},
+			want:     "2 3 1",
+		},
+		"equal tasks in the order of arrival": {
+			arrivals: []arrival{{"x", "2", ms, 0}, {"x", "1", ms, ms}},
+			want:     "2 1",
+		},
+		"overtaken within four run times": {
+			arrivals: []arrival{{"x", "1", 100 * ms, 0}, {"x", "2", 10 * ms, 359 * ms}},
+			want:     "2 1",
+		},
+		"not overtaken after four run times": {
+			arrivals: []arrival{{"x", "1", 100 * ms, 0}, {"x", "2", 10 * ms, 361 * ms}},
+			want:     "1 2",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := occupied()
+			for _, a := range test.arrivals {
+				f.now = f.now.Add(a.after)
+				f.receive(owner, offerOf(a.team, a.client, a.expected))
+			}
+			var got []string
+			for range test.arrivals {
+				f.finish(f.runs[len(f.runs)-1], zinniasill.Outcome{OK: true})
+				fetch := take[message.Fetch](f)[0]
+				got = append(got, fetch.Key.Client)
+				f.receive(owner, message.Grant{Key: fetch.Key, Term: 1, Tasks: fetch.Tasks})
+			}
+			if order := strings.Join(got, " "); order != test.want {
+				t.Errorf("served in the order %s, want %s", order, test.want)
+			}
+		})
+	}
+}
+
+// TestEviction guards against outputs beyond the budget, and against an evicted
+// output that lets its task run again.
+func TestEviction(t *testing.T) {
+	f := newFixture(1, func(cfg *agent.Config) { cfg.OutputBudget = 10 })
+	for at, client := range []string{"a", "b", "c"} {
+		f.receive(owner, offer(client, 1, ref(0, 1)))
+		f.finish(f.runs[at], zinniasill.Outcome{OK: true, Output: []byte("1234")})
+	}
+	f.out = nil
+	for client, evicted := range map[string]bool{"a": true, "b": false, "c": false} {
+		f.receive(owner, offer(client, 1, ref(0, 2)))
+		status := take[message.OfferReply](f)[0].Tasks[0]
+		if status.State != message.TaskFinished || !status.Outcome.OK ||
+			(status.Reason == zinniasill.ReasonAnswerEvicted) != evicted || (len(status.Outcome.Output) == 0) != evicted {
+			t.Errorf("status of %s is %+v, outcome %+v", client, status, status.Outcome)
+		}
+	}
+	if len(f.runs) != 3 {
+		t.Errorf("%d runs of 3 tasks", len(f.runs))
+	}
+}
+
+// TestEpochExpiry guards against a start whose record may have been dropped, and
+// against records that are dropped while their task runs.
+func TestEpochExpiry(t *testing.T) {
+	f := newFixture(2, nil)
+	f.receive(owner, offer("ended", 1, ref(0, 1)))
+	f.finish(f.runs[0], zinniasill.Outcome{OK: true})
+	f.receive(owner, offer("running", 1, ref(0, 1)))
+	f.lease.catalog.Epochs = []catalog.EpochEntry{{Number: 6}}
+	f.tick(time.Second)
+	f.out = nil
+	for _, client := range []string{"ended", "new"} {
+		f.receive(owner, offer(client, 1, ref(0, 1)))
+		f.receive(owner, message.Withdraw{Key: key(client), Term: 1, Epoch: 5, Tasks: []message.TaskRef{ref(0, 1)}})
+		if len(f.out) > 0 {
+			t.Errorf("%s of an expired epoch is answered with %+v", client, f.out)
+		}
+		f.receive(other, message.Fence{Key: key(client), Term: 2, Epoch: 5})
+		if fences := take[message.FenceReply](f); len(fences) != 1 || !fences[0].Expired {
+			t.Errorf("%s: fence replies are %+v", client, fences)
+		}
+	}
+	f.receive(other, message.Fence{Key: key("running"), Term: 2, Epoch: 5})
+	if fences := take[message.FenceReply](f); len(fences) != 1 || fences[0].Expired || len(fences[0].Tasks) != 1 {
+		t.Errorf("fence replies on the running task are %+v", fences)
+	}
+	if len(f.runs) != 2 {
+		t.Errorf("%d runs, want 2", len(f.runs))
+	}
+}
+
+// TestRestart guards against state that survives a declared death, and against
+// messages and outcomes of the earlier incarnation that reach the new one.
+func TestRestart(t *testing.T) {
+	f := occupied()
+	f.receive(owner, offer("queued", 1, ref(0, 1)))
+	next := zinniasill.Node{ID: self.ID, Incarnation: self.Incarnation + 1}
+	f.agent.Restart(next)
+	f.out = nil
+	if !f.agent.Idle() {
+		t.Error("work is left after the restart")
+	}
+	f.freeSlot()
+	f.receive(owner, offer("late", 1, ref(0, 1)))
+	f.receive(owner, grant("queued"))
+	f.tick(time.Second)
+	if len(f.out) > 0 || len(f.runs) != 1 {
+		t.Errorf("sent %+v, runs are %+v", f.out, f.runs)
+	}
+	f.agent.Receive(f.now, message.Envelope{From: owner, To: next, Body: offer("new", 1, ref(0, 1))})
+	f.drain()
+	if len(f.runs) != 2 || f.out[0].From != next {
+		t.Errorf("the new incarnation sent %+v, runs are %+v", f.out, f.runs)
+	}
+}
+
+// TestOtherIncarnation guards against an answer for an incarnation whose records
+// the agent does not have.
+func TestOtherIncarnation(t *testing.T) {
+	bodies := map[string]any{
+		"offer":    offer("x", 1, ref(0, 1)),
+		"fence":    message.Fence{Key: key("x"), Term: 2, Epoch: 5},
+		"withdraw": message.Withdraw{Key: key("x"), Term: 1, Epoch: 5, Tasks: []message.TaskRef{ref(0, 1)}},
+		"claim":    message.ClaimFast{Register: message.Register{Key: key("x"), Term: 1, Epoch: 5}},
+	}
+	for name, body := range bodies {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(1, nil)
+			earlier := zinniasill.Node{ID: self.ID, Incarnation: self.Incarnation - 1}
+			f.agent.Receive(f.now, message.Envelope{From: owner, To: earlier, Body: body})
+			f.drain()
+			if len(f.out) > 0 || len(f.runs) > 0 {
+				t.Errorf("sent %+v, runs are %+v", f.out, f.runs)
+			}
+		})
+	}
+}
+
+// TestLastCheck guards against a start after the lease has expired, the domain or
+// the endpoint was taken out, or the agent leaves, between an offer or grant and
+// the start.
+func TestLastCheck(t *testing.T) {
+	changes := map[string]struct {
+		change func(f *fixture)
+		reason zinniasill.Reason
+	}{
+		"lease expired": {func(f *fixture) { f.lease.valid = false }, zinniasill.ReasonLeaseExpired},
+		"domain out":    {func(f *fixture) { f.lease.setDomain(catalog.DomainOut) }, zinniasill.ReasonDomainOut},
+		"endpoint leaving": {func(f *fixture) {
+			f.lease.catalog.Endpoints[self.ID] = catalog.EndpointEntry{Name: self.ID, State: catalog.Leaving}
+		}, zinniasill.ReasonLeaving},
+		"agent leaving": {func(f *fixture) { f.agent.Leave(f.now) }, zinniasill.ReasonLeaving},
+		"endpoint gone": {func(f *fixture) { f.agent.SetEndpoint(f.now, 0, nil, false) }, zinniasill.ReasonNoEndpoint},
+	}
+	waits := map[string]func(f *fixture){
+		"offered": func(f *fixture) {
+			f.freeSlot()
+			f.batch(owner, offer("x", 1, ref(0, 1)))
+		},
+		"queued": func(f *fixture) { f.receive(owner, offer("x", 1, ref(0, 1))) },
+		"fetching": func(f *fixture) {
+			f.receive(owner, offer("x", 1, ref(0, 1)))
+			f.freeSlot()
+		},
+		"granted": func(f *fixture) {
+			f.receive(owner, offer("x", 1, ref(0, 1)))
+			f.freeSlot()
+			f.batch(owner, grant("x"))
+		},
+	}
+	for changed, change := range changes {
+		for waiting, wait := range waits {
+			t.Run(changed+"/"+waiting, func(t *testing.T) {
+				f := occupied()
+				wait(f)
+				f.out = nil
+				change.change(f)
+				f.drain()
+				f.tick(time.Millisecond)
+				f.receive(owner, grant("x"))
+				if len(f.runs) != 1 {
+					t.Errorf("%+v started", f.runs[1:])
+				}
+				if got := closedFor(f); got != change.reason {
+					t.Errorf("the owner was told %q, want %q", got, change.reason)
+				}
+			})
+		}
+	}
+}
+
+// closedFor returns the reason that the owner was given for closing job x.
+func closedFor(f *fixture) zinniasill.Reason {
+	for _, env := range f.out {
+		var statuses []message.TaskStatus
+		switch body := env.Body.(type) {
+		case message.OfferReply:
+			statuses = body.Tasks
+		case message.Result:
+			if body.Key != key("x") {
+				continue
+			}
+			statuses = body.Tasks
+		}
+		for _, status := range statuses {
+			if status.State == message.TaskClosed {
+				return status.Reason
+			}
+		}
+	}
+	return ""
+}
