--- /dev/null
+++ b/cmd/stub-endpoint/main.go
@@ -0,0 +1,41 @@
+// Command stub-endpoint is an endpoint for trying the system. It announces itself
+// to an agent and runs tasks whose payload is JSON such as
+// {"id": "box-17", "run-ms": 50}, by waiting.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"zinniasill/internal/stubendpoint"
+)
+
+func main() {
+	os.Exit(mainCode())
+}
+
+func mainCode() int {
+	app := kingpin.New("stub-endpoint", "Endpoint for trying the system.")
+	agent := app.Flag("agent", "Base URL of the agent beside the endpoint.").Required().String()
+	slots := app.Flag("slots", "Number of tasks at the same time.").Default("4").Int()
+	kinds := app.Flag("kind", "Kind that the endpoint serves; may be repeated.").Required().Strings()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	stub, err := stubendpoint.Serve(ctx, stubendpoint.Config{
+		AgentURL: *agent, Slots: *slots, Kinds: *kinds,
+		OnStart: func(id string) { fmt.Println("start", id) },
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "stub-endpoint:", err)
+		return 1
+	}
+	fmt.Println("serving on", stub.URL())
+	<-stub.Done()
+	return 0
+}
