--- a/cmd/measure/fault.go
+++ b/cmd/measure/fault.go
@@ -103,7 +103,7 @@
 	if load == 3 {
 		figures = append(figures,
 			base.is("goodput / peak goodput", goodput / *peak).atLeast(targetGoodput),
-			base.is("messages per task", r.MessagesPerTask()),
+			base.is("messages per task", r.MessagesPerTask()).atMost(targetMessages),
 			base.is("wasted part of messages", r.WastedPart()).atMost(targetWasted))
 	}
 	return append(figures, safety(base, r)...)
@@ -150,8 +150,8 @@
 	return append([]figure{
 		base.is("cancelled jobs", float64(r.Counts["jobs_refused cancelled"])),
 		base.is("work / capacity in the 2 s after", r.Work(burstTo, burstTo+2*time.Second, 100)),
-		base.is("messages per task", r.MessagesPerTask()),
-		base.is("wasted part of messages", r.WastedPart()),
+		base.is("messages per task", r.MessagesPerTask()).atMost(targetMessages),
+		base.is("wasted part of messages", r.WastedPart()).atMost(targetWasted),
 	}, safety(base, r)...)
 }
 
