Test an all-in-one process with TLS

Cause: rights on the listener that callers and operators share were not tested. Change: a test submits as a caller, configures as an operator, and expects each to be refused on the other's paths; the endpoint announces itself on its own loopback listener.

--- a/io/node/run_test.go
+++ b/io/node/run_test.go
@@ -224,6 +224,28 @@
 	checkStarts(t, stub, "firsta", "firstb", "firstc", "seconda", "secondb", "secondc")
 }
 
+// TestAllInOneTLS guards against an endpoint that cannot announce itself where the
+// other interfaces use TLS, and against rights that are mixed up on one listener.
+func TestAllInOneTLS(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	ca := newAuthority(t)
+	s := testSettings("try")
+	s.DataFolder, s.EndpointHTTP = t.TempDir(), freePort()
+	secure(&s, certify(t, ca, authority.Request{Name: "try", Rights: []string{"peer"}}))
+	p, _ := startProcess(t, s, settings.RoleAllInOne)
+	stub := startStub(t, s.EndpointHTTP)
+	operators, _ := secureClients(t, certify(t, ca, authority.Request{Name: "ops", Rights: []string{"operator"}}), s.HTTP, s.HTTP)
+	asCaller, callers := secureClients(t, certify(t, ca, authority.Request{Name: "shop", Rights: []string{"caller"}}), s.HTTP, s.HTTP)
+	awaitReady(ctx, t, p)
+	putProfile(ctx, t, operators)
+	submit(ctx, t, callers, "job")
+	checkStarts(t, stub, "joba", "jobb", "jobc")
+	checkForbidden(ctx, t, asCaller.HTTP, "https://"+s.HTTP+"/v1/status")
+	checkForbidden(ctx, t, operators.HTTP, "https://"+s.HTTP+"/v1/epoch")
+	checkForbidden(ctx, t, operators.HTTP, "https://"+s.HTTP+"/v1/jobs/job?team="+testTeam)
+}
+
 // TestControlWithEntry guards against an entry that cannot reach agents from a
 // process that it shares with a control replica.
 func TestControlWithEntry(t *testing.T) {
