--- a/cmd/load/standin.go
+++ b/cmd/load/standin.go
@@ -95,8 +95,9 @@
 }
 
 func (s *standIn) awaitEnd() {
-	// A fault of the listener also ends the renewals, and the figures show it.
-	_ = <-s.ended
+	if err := <-s.ended; err != nil {
+		logrus.WithError(err).Warn("the links of a stand-in ended with an error")
+	}
 }
 
 // fleet is a growing set of stand-ins.
