Serve the applied index of a control replica as it is

Cause: the gauge control_commit_index read the replica's last status, which is renewed only when role, leader or term change; it stood still between elections.

Change: the gauge is control_applied_index and follows each applied entry. A status after each commit was ruled out: it copies the membership every time.

Conclusion: operators can see a replica that lags.

--- a/io/node/build.go
+++ b/io/node/build.go
@@ -154,7 +154,7 @@
 	p.addRole(role, role.Start)
 	p.join(name, role.Deliver)
 	p.metrics.Gauge("control_term", func() float64 { return float64(role.Status().Term) })
-	p.metrics.Gauge("control_commit_index", func() float64 { return float64(role.Status().Commit) })
+	p.metrics.Gauge("control_applied_index", func() float64 { return float64(role.Applied()) })
 	return role, nil
 }
 
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -56,6 +56,7 @@
 	server  *control.Server
 	loop    *daemon.Loop
 	status  atomic.Pointer[consensus.Status]
+	applied atomic.Uint64
 
 	proposal  consensus.ProposalID
 	compacted consensus.Index
@@ -117,6 +118,11 @@
 	return *c.status.Load()
 }
 
+// Applied returns the index of the last entry that the replica has applied.
+func (c *Control) Applied() uint64 {
+	return c.applied.Load()
+}
+
 // Handler returns the HTTP interface for operators.
 func (c *Control) Handler() http.Handler {
 	return operator.New(operator.Config{
@@ -233,6 +239,7 @@
 
 func (c *Control) apply(entries []consensus.Entry) {
 	for _, entry := range entries {
+		c.applied.Store(uint64(entry.Index))
 		if entry.Kind != consensus.KindData {
 			c.server.Advance(uint64(entry.Index))
 			continue
