Carry the records of a stopping agent to its host

Cause: an agent could dump and load records, but no message carried them, and entries took an agent that had stopped as planned for dead.

Change: HandoverPart and HandoverAck (types 20 and 21) carry the records in parts of 1 MiB, four in flight, resent every 200 ms. Outputs beyond the budget are evicted first. The host says complete only once it has loaded all parts. A host that leaves refuses for good, and only then may another be named. Catalog.Answers holds for a live agent and for one whose host is alive; claims, fences and offers use it in place of Alive. Ruled out: one message with everything, which can exceed a frame, and a second host after a time-out, as two hosts could answer differently.

Conclusion: proved at the level of the state machines; the roles do not send handovers yet.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -78,6 +78,8 @@
 	acceptor *claim.Acceptor
 	hosted   []*Agent
 	frozen   bool
+	incoming map[zinniasill.Node]*incoming
+	outgoing *outgoing
 
 	slots   int
 	kinds   []zinniasill.Kind
@@ -120,6 +122,7 @@
 	return &Agent{
 		cfg:      cfg,
 		acceptor: claim.NewAcceptor(cfg.Self),
+		incoming: map[zinniasill.Node]*incoming{},
 		jobs:     map[zinniasill.Key]*job{},
 		epochs:   map[zinniasill.Epoch][]*job{},
 		running:  map[*task]struct{}{},
@@ -179,7 +182,7 @@
 		a.receiveHosted(now, env)
 		return
 	}
-	if a.frozen {
+	if a.receiveHandover(now, env) || a.frozen {
 		return
 	}
 	a.setNow(now)
@@ -204,11 +207,13 @@
 
 // Tick implements daemon.Machine.
 func (a *Agent) Tick(now time.Time) {
+	a.resendHandover(now)
 	if a.frozen {
 		return
 	}
 	a.setNow(now)
 	a.dropExpired()
+	a.dropIncoming()
 	a.settle(now)
 	a.resendFetches(now)
 	a.resendResults(now)
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -292,6 +292,16 @@
 	return ok && entry.Node == node
 }
 
+// Answers reports whether the records of a node can be asked for: it is alive, or
+// it has stopped as planned and the host of its records is alive.
+func (c *Catalog) Answers(node zinniasill.Node) bool {
+	if c.Alive(node) {
+		return true
+	}
+	host, ok := c.Host(node)
+	return ok && c.Alive(host)
+}
+
 // CurrentEpoch returns the newest epoch, or 0 when there is none.
 func (c *Catalog) CurrentEpoch() zinniasill.Epoch {
 	if len(c.Epochs) == 0 {
--- a/core/job/claiming.go
+++ b/core/job/claiming.go
@@ -73,7 +73,7 @@
 	cfg.Group = group
 	cfg.Rand = c.cfg.Rand
 	for _, member := range group {
-		if !cat.Alive(member.Node) {
+		if !cat.Answers(member.Node) {
 			cfg.Dead = append(cfg.Dead, member.Node)
 		}
 	}
@@ -294,7 +294,7 @@
 		return
 	}
 	for _, member := range groups.Of(key) {
-		if !cat.Alive(member.Node) {
+		if !cat.Answers(member.Node) {
 			p.MemberDead(now, member.Node)
 		}
 	}
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -316,6 +316,10 @@
 			return
 		}
 	}
+	if host, ok := w.versions[len(w.versions)-1].Host(env.To); ok {
+		w.deliverToHost(host, env)
+		return
+	}
 	for _, agent := range w.agents {
 		if agent.node == env.To && !agent.dead {
 			w.delivered++
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -58,6 +58,8 @@
 		{Number: 17, Sample: message.ResultAck{}},
 		{Number: 18, Sample: message.Attach{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
+		{Number: 20, Sample: message.HandoverPart{}, Class: Bulk},
+		{Number: 21, Sample: message.HandoverAck{}},
 	}
 }
 
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -68,6 +68,8 @@
 	anyOf[message.ResultAck](),
 	anyOf[message.Attach](),
 	anyOf[message.AttachReply](),
+	anyOf[message.HandoverPart](),
+	anyOf[message.HandoverAck](),
 }
 
 // plain renders a value with nil and empty collections alike, because the wire
