Hand over an agent's records at a planned stop

Cause: a stopping agent kept its records to itself, so a rolling restart of all agents lost them.

Change: after Leave and Idle, Stop hands the records to the next serving agent in the order of ids, one of the same failure domain if there is any, reports it with the last renewals, and waits until control has ended the incarnation. A refusal lets it ask another; a host that is lost in between ends the stop, as it may have the records. All of it is bounded by the stop time. Links take a Route: envelopes keep their (agent, incarnation) and go to the process that the catalog lists as its host. Ruled out: rewriting To, by which the host could not tell whose record is meant.

--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -182,11 +182,15 @@
 }
 
 // Stop returns queued tasks, and waits until running ones have ended and their
-// results are acknowledged, or until ctx ends.
+// results are acknowledged. It then hands the agent's records over to another
+// agent. It returns an error when ctx ends before that.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.keeper.Report(func(entry *catalog.NodeEntry) { entry.State = catalog.Leaving })
 	if err := a.loop.Do(ctx, a.machine.Leave); err != nil {
 		return err
 	}
-	return waitFor(ctx, a.cfg.Clock, a.loop, a.machine.Idle)
+	if err := waitFor(ctx, a.cfg.Clock, a.loop, a.machine.Idle); err != nil {
+		return err
+	}
+	return a.handOver(ctx)
 }
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// routeToHost sends what is addressed to a stopped agent to the host of its records.
+func routeToHost(keeper *Keeper) func(zinniasill.Node) zinniasill.NodeID {
+	return func(to zinniasill.Node) zinniasill.NodeID {
+		if host, ok := keeper.Catalog().Host(to); ok {
+			return host.ID
+		}
+		return to.ID
+	}
+}
+
 func (p *Process) report() catalog.NodeEntry {
 	return catalog.NodeEntry{
 		Node:    zinniasill.Node{ID: zinniasill.NodeID(p.cfg.Settings.Name)},
@@ -124,7 +134,7 @@
 	}
 	return p.openTransport(peer.Config{
 		Self: role.Keeper().Node, Cluster: role.Keeper().Cluster, Deliver: role.Deliver,
-		Resolve: p.resolver(role.Keeper()),
+		Resolve: p.resolver(role.Keeper()), Route: routeToHost(role.Keeper()),
 		Notify: func(event peer.Event) {
 			if event.State == peer.Down {
 				go role.LinkDown(context.Background(), event.Peer)
@@ -147,7 +157,7 @@
 	}
 	return p.openTransport(peer.Config{
 		Self: role.Keeper().Node, Cluster: role.Keeper().Cluster, Deliver: role.Deliver,
-		Resolve: p.resolver(role.Keeper()),
+		Resolve: p.resolver(role.Keeper()), Route: routeToHost(role.Keeper()),
 	})
 }
 
--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -114,6 +114,12 @@
 	k.holder.Load().Update(change)
 }
 
+// HandedOver reports whether control has ended this incarnation after the report
+// of a host for its records. Such a node takes no new incarnation: it stops.
+func (k *Keeper) HandedOver() bool {
+	return k.holder.Load().Dead() && k.report.Load().Host != (zinniasill.Node{})
+}
+
 // Receive implements daemon.Machine.
 func (k *Keeper) Receive(now time.Time, env message.Envelope) {
 	k.holder.Load().Receive(now, env)
@@ -135,7 +141,7 @@
 		k.valid = valid
 		k.cfg.Log.WithField("revision", holder.Catalog().Revision).Infof("lease valid: %t", valid)
 	}
-	if !holder.Dead() {
+	if !holder.Dead() || k.HandedOver() {
 		return
 	}
 	dead := k.Node()
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -60,6 +60,9 @@
 	Advertise string
 	// Resolve returns the address of a node.
 	Resolve func(zinniasill.NodeID) (address string, ok bool)
+	// Route, if set, returns the process that answers for a node. It is another one
+	// once the node has handed over its records; envelopes keep their To.
+	Route func(to zinniasill.Node) zinniasill.NodeID
 	// Deliver receives the envelopes of all links. It must not block.
 	Deliver func(message.Envelope)
 	// Notify, if set, is called on changes of links. It must not block.
@@ -219,29 +222,33 @@
 	if env.Cluster == "" {
 		env.Cluster = t.cfg.Cluster()
 	}
+	id := env.To.ID
+	if t.cfg.Route != nil {
+		id = t.cfg.Route(env.To)
+	}
 	t.mu.RLock()
-	to := t.peers[env.To.ID]
+	to := t.peers[id]
 	if to != nil {
 		t.push(to, class, env)
 	}
 	t.mu.RUnlock()
 	if to == nil {
-		t.sendFirst(class, env)
+		t.sendFirst(id, class, env)
 	}
 }
 
 // sendFirst creates the peer of an envelope.
-func (t *Transport) sendFirst(class Class, env message.Envelope) {
+func (t *Transport) sendFirst(id zinniasill.NodeID, class Class, env message.Envelope) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ctx == nil {
 		t.drop(reasonUnreachable)
 		return
 	}
-	to := t.peers[env.To.ID]
+	to := t.peers[id]
 	if to == nil {
-		to = &outbound{transport: t, id: env.To.ID, queue: newQueue()}
-		t.peers[env.To.ID] = to
+		to = &outbound{transport: t, id: id, queue: newQueue()}
+		t.peers[id] = to
 		ctx := t.ctx
 		t.tasks.Go(func() { to.run(ctx) })
 	}
