Test the output budget of a handover

Cause: nothing showed that outputs beyond the budget are evicted when records are handed on, and that the record of their task stays.

Change: a test with two handovers in a row. Ruled out: a test over the encoded size, which does not show which output went.

Conclusion: the outputs in one dump stay within one budget, the agent's own before those it hosts.

--- a/core/agent/transfer_test.go
+++ b/core/agent/transfer_test.go
@@ -177,3 +177,37 @@
 		})
 	}
 }
+
+// TestHandoverBudget guards against outputs beyond the budget that pile up over
+// several handovers, and against evicted ones that lose the record of their task.
+func TestHandoverBudget(t *testing.T) {
+	p := newPair(t, 1, 8)
+	second := newFixture(1, func(cfg *agent.Config) {
+		cfg.Self = hostNode
+		cfg.OutputBudget = 10
+	})
+	second.agent.Load(second.now, p.giver.agent.Dump(p.giver.now))
+	second.agent.Receive(second.now, message.Envelope{From: owner, To: hostNode, Body: offer("own", 1, ref(0, 1))})
+	second.drain()
+	second.finish(second.runs[0], zinniasill.Outcome{OK: true, Output: []byte("12345678")})
+	third := zinniasill.Node{ID: "agent-3", Incarnation: 1}
+	if err := second.agent.HandOver(second.now, third); err != nil {
+		t.Fatal(err)
+	}
+	second.drain()
+	last := newFixture(1, func(cfg *agent.Config) { cfg.Self = third })
+	for _, part := range take[message.HandoverPart](second) {
+		last.agent.Receive(last.now, message.Envelope{From: hostNode, To: third, Body: part})
+	}
+	for node, evicted := range map[zinniasill.Node]bool{hostNode: false, self: true} {
+		client := map[zinniasill.Node]string{hostNode: "own", self: "a"}[node]
+		fence := message.Fence{Key: key(client), Term: 2, Epoch: 5}
+		last.agent.Receive(last.now, message.Envelope{From: other, To: node, Body: fence})
+		last.drain()
+		status := take[message.FenceReply](last)[0].Tasks[0]
+		if status.State != message.TaskFinished || (status.Reason == zinniasill.ReasonAnswerEvicted) != evicted ||
+			(len(status.Outcome.Output) == 0) != evicted {
+			t.Errorf("status of %s is %+v", client, status)
+		}
+	}
+}
