--- a/io/node/build.go
+++ b/io/node/build.go
@@ -169,6 +169,16 @@
 	}
 }
 
+// routeToHost sends what is addressed to a stopped agent to the host of its records.
+func routeToHost(keeper *Keeper) func(zinniasill.Node) zinniasill.NodeID {
+	return func(to zinniasill.Node) zinniasill.NodeID {
+		if host, ok := keeper.Catalog().Host(to); ok {
+			return host.ID
+		}
+		return to.ID
+	}
+}
+
 // report returns what a role of this process reports to control.
 func (p *Process) report(name, address string) catalog.NodeEntry {
 	return catalog.NodeEntry{
@@ -224,7 +234,7 @@
 	return p.openTransport(link, peer.Config{
 		Listen: listen, Advertise: advertise,
 		Self: role.Keeper().Node, Cluster: role.Keeper().Cluster, Deliver: role.Deliver,
-		Resolve: p.resolver(role.Keeper()),
+		Resolve: p.resolver(role.Keeper()), Route: routeToHost(role.Keeper()),
 		Notify: func(event peer.Event) {
 			if event.State == peer.Down {
 				go role.LinkDown(context.Background(), event.Peer)
@@ -244,7 +254,7 @@
 	return p.openTransport(link, peer.Config{
 		Listen: s.Listen, Advertise: s.Advertise,
 		Self: role.Keeper().Node, Cluster: role.Keeper().Cluster, Deliver: role.Deliver,
-		Resolve: p.resolver(role.Keeper()),
+		Resolve: p.resolver(role.Keeper()), Route: routeToHost(role.Keeper()),
 	})
 }
 
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -60,6 +60,8 @@
 		{Number: 30, Sample: message.ClaimBatch{}},
 		{Number: 31, Sample: message.ClaimReplies{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
+		{Number: 20, Sample: message.HandoverPart{}, Class: Bulk},
+		{Number: 21, Sample: message.HandoverAck{}},
 	}
 }
 
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -70,6 +70,8 @@
 	anyOf[message.AttachReply](),
 	claimBatch,
 	anyOf[message.ClaimReplies](),
+	anyOf[message.HandoverPart](),
+	anyOf[message.HandoverAck](),
 }
 
 // claimBatch draws a batch, whose requests have their types on the wire.
