Accept a host's answers in a stopped agent's name with TLS

Cause: with TLS an envelope whose sender is not the name in the link's certificate is dropped. The host of a stopped agent's records answers under that agent's identity, so after a handover its answers would all be dropped.

Change: the receiver accepts a sender whose records, by its own catalog, are hosted by the node of the link. Answering under the host's own name was ruled out: claim registers count the votes of (agent, incarnation).

Figures: TestTLSHostAnswers does not end before (10 s limit), and passes after.

Conclusion: a node can still not pose as another; TestTLSForgedSender passes.

--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -223,9 +223,10 @@
 }
 
 // deliver drops envelopes that carry another sender than the certificate of the
-// link, so that a node cannot pose as another.
+// link, so that a node cannot pose as another. The host of a node's records answers
+// in that node's name.
 func (i *inbound) deliver(env message.Envelope) {
-	if i.checked != "" && env.From.ID != i.checked {
+	if i.checked != "" && env.From.ID != i.checked && i.transport.route(env.From) != i.checked {
 		i.transport.drop(reasonWrongSender)
 		return
 	}
--- a/io/peer/tls_test.go
+++ b/io/peer/tls_test.go
@@ -143,6 +143,32 @@
 	b.counts.waitFor("peer_dropped_total/wrong-sender")
 }
 
+// TestTLSHostAnswers guards against answers of the host of a stopped agent's records
+// that are dropped because they carry that agent's name.
+func TestTLSHostAnswers(t *testing.T) {
+	ca := newAuthority(t)
+	book := &addresses{}
+	a := start(t, "a", book, secured(t, ca, peerNamed("a"), newCounts()))
+	stopped := zinniasill.Node{ID: "c", Incarnation: 1}
+	secure := secured(t, ca, peerNamed("b"), newCounts())
+	b := start(t, "b", book, func(cfg *Config) {
+		secure(cfg)
+		cfg.Route = func(to zinniasill.Node) zinniasill.NodeID {
+			if to == stopped {
+				return "a"
+			}
+			return to.ID
+		}
+	})
+	book.set("b", b.Address())
+	answer := grant("b", 1)
+	answer.From = stopped
+	a.Send(answer)
+	if got := <-b.inbox; got.From != stopped {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // TestTLSPlainText guards against a plain-text stranger that is served.
 func TestTLSPlainText(t *testing.T) {
 	book := &addresses{}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -225,6 +225,14 @@
 	return ended
 }
 
+// route returns the process that answers for a node.
+func (t *Transport) route(to zinniasill.Node) zinniasill.NodeID {
+	if t.cfg.Route == nil {
+		return to.ID
+	}
+	return t.cfg.Route(to)
+}
+
 // Send queues env for its receiver. It fills in the version, and the sender and
 // the cluster where they are empty. It never blocks; envelopes that find their
 // queue full or a transport that is not running are dropped.
@@ -241,10 +249,7 @@
 	if env.Cluster == "" {
 		env.Cluster = t.cfg.Cluster()
 	}
-	id := env.To.ID
-	if t.cfg.Route != nil {
-		id = t.cfg.Route(env.To)
-	}
+	id := t.route(env.To)
 	t.mu.RLock()
 	to := t.peers[id]
 	if to != nil {
