Close unused connections early in a graceful stop

Cause: a Go client opens connections in advance while others are busy and may never use them. http.Server.Shutdown waits 5 s for a connection without a request, so an entry that had served 40 clients at once ended 3.7 s after SIGTERM. The goroutines of the roles were not the cause: the log had no line about them, and all other processes ended within 3 ms, but for the last control replica (0.59 s, it looks for a successor).

Change: a stopping server closes connections that have not sent a request 0.5 s after the stop began. Requests in flight keep their connection. Closing them at once was ruled out, since a first request may be on its way.

--- a/io/node/process.go
+++ b/io/node/process.go
@@ -62,6 +62,7 @@
 type server struct {
 	*http.Server
 	listener net.Listener
+	unused   *unusedConns
 }
 
 // newRand returns a source that differs between processes.
@@ -101,7 +102,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	p.servers = append(p.servers, server{Server: serve, listener: listener})
+	p.servers = append(p.servers, server{Server: serve, listener: listener, unused: watchUnused(serve)})
 	return nil
 }
 
@@ -183,7 +184,7 @@
 		}
 	}
 	for _, s := range p.servers {
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.shutdown(ctx); err != nil {
 			p.log.WithError(err).Warn("requests in flight were cut")
 		}
 	}
