Move on from an entry that takes no jobs

Cause: a client kept its entry after a final refusal.

Change: after a refusal with shutting-down or lease-expired the client sends the next job to the next entry. Trying the same job elsewhere was ruled out: the advice is new-key, since the key stays refused. An overloaded entry is kept, because moving on would move the load.

--- a/client/client.go
+++ b/client/client.go
@@ -175,6 +175,9 @@
 			sent = true
 			continue // in progress
 		case !c.again(reply.refusal, &job, sent):
+			if isOutOfService(reply.refusal) {
+				c.moveOn()
+			}
 			return Answer{}, reply.refusal
 		default:
 			last = reply.refusal
@@ -210,6 +213,12 @@
 	return refusal.Retry == zinniasill.RetrySameKey
 }
 
+// isOutOfService reports whether a refusal says that the entry takes no jobs at
+// present. The next job is then sent to another entry.
+func isOutOfService(refusal *RefusalError) bool {
+	return refusal.Code == zinniasill.ReasonShuttingDown || refusal.Code == zinniasill.ReasonLeaseExpired
+}
+
 // unknown is the error for a job whose outcome could not be learned.
 func unknown(key string, cause error) error {
 	return &RefusalError{
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -125,6 +125,34 @@
 	}
 }
 
+// TestSubmitAfterShutdown guards against a client that goes on sending its jobs to
+// an entry that refuses all of them because it is stopping or has no lease.
+func TestSubmitAfterShutdown(t *testing.T) {
+	for _, code := range []zinniasill.Reason{zinniasill.ReasonShuttingDown, zinniasill.ReasonLeaseExpired} {
+		t.Run(string(code), func(t *testing.T) {
+			stopping := &fakeEntry{script: []func(http.ResponseWriter, *http.Request){refuse(code, zinniasill.NotRun, zinniasill.RetryNewKey)}}
+			serving := &fakeEntry{script: []func(http.ResponseWriter, *http.Request){complete}}
+			cfg := client.Config{Team: "t"}
+			for _, entry := range []*fakeEntry{stopping, serving} {
+				server := httptest.NewServer(entry)
+				defer server.Close()
+				cfg.Entries = append(cfg.Entries, server.URL)
+			}
+			c := client.New(cfg)
+			defer c.Close()
+			job := client.Job{Key: "k", Profile: "p", Tasks: [][]byte{[]byte("in")}}
+			var refusal *client.RefusalError
+			if _, err := c.Submit(t.Context(), job); !errors.As(err, &refusal) || refusal.Code != code {
+				t.Fatalf("first job: error %v, want code %s", err, code)
+			}
+			job.Key = "k2"
+			if _, err := c.Submit(t.Context(), job); err != nil {
+				t.Fatalf("second job: %v", err)
+			}
+		})
+	}
+}
+
 // ExampleClient_Submit submits a job of one task and tells a refusal that is safe
 // to act on from one that is not.
 func ExampleClient_Submit() {
