Keep the stamp of a job that the caller submits again

Cause: after record-lost or key-expired the client gave a job that it had not sent in this call a newer epoch stamp. A caller that resubmits a job with its own stamp, as after a restart, had sent it in an earlier call. With the newer stamp the entries pass over the lost group and claim the key again, so tasks that had started on a lost agent started a second time (guarantee 1).

Change: a stamp given by the caller counts as sent and is never replaced. A check in the entries was ruled out: they can't tell the two cases apart.

The new client test fails before (stamps 3 and 5 sent) and passes after.

--- a/client/client.go
+++ b/client/client.go
@@ -147,7 +147,9 @@
 // until one of them has the answer. The error is a *RefusalError when the job was
 // refused or failed, and when its outcome could not be learned.
 func (c *Client) Submit(ctx context.Context, job Job) (Answer, error) {
-	if job.Epoch == 0 {
+	// A stamp that the caller gives belongs to an earlier submission of the job.
+	sent := job.Epoch != 0
+	if !sent {
 		epoch, err := c.Stamp(ctx)
 		if err != nil {
 			return Answer{}, eris.Wrapf(err, "submit job %s", job.Key)
@@ -158,7 +160,6 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	sent := false
 	var last error
 	for attempt := 0; attempt < c.cfg.Attempts; {
 		reply, err := c.post(ctx, c.entry(), job, body)
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -125,6 +125,31 @@
 	}
 }
 
+// TestSubmitAgainAfterLoss guards against a client that gives a resubmitted job a
+// newer stamp when its record is lost. The entries would then take the job for a new
+// one and start its tasks a second time.
+func TestSubmitAgainAfterLoss(t *testing.T) {
+	for _, code := range []zinniasill.Reason{zinniasill.ReasonRecordLost, zinniasill.ReasonKeyExpired} {
+		t.Run(string(code), func(t *testing.T) {
+			entry := &fakeEntry{script: []func(http.ResponseWriter, *http.Request){
+				refuse(code, zinniasill.RanUnknown, zinniasill.RetryNone), complete,
+			}}
+			server := httptest.NewServer(entry)
+			defer server.Close()
+			c := client.New(client.Config{Team: "t", Entries: []string{server.URL}})
+			defer c.Close()
+			job := client.Job{Key: "k", Profile: "p", Tasks: [][]byte{[]byte("in")}, Epoch: 3}
+			var refusal *client.RefusalError
+			if _, err := c.Submit(t.Context(), job); !errors.As(err, &refusal) || refusal.Code != code {
+				t.Errorf("error %v, want code %s", err, code)
+			}
+			if len(entry.epochs) != 1 || entry.epochs[0] != "3" {
+				t.Errorf("sent with epochs %v", entry.epochs)
+			}
+		})
+	}
+}
+
 // TestSubmitAfterShutdown guards against a client that goes on sending its jobs to
 // an entry that refuses all of them because it is stopping or has no lease.
 func TestSubmitAfterShutdown(t *testing.T) {
