Answer offers until every entry knows that an agent leaves

Cause: a stopping agent ended as soon as it was idle. Entries that had not yet heard of its leave still offered tasks to it.

Change: while an entry is listed as serving, a stopping agent goes on refusing offers for 2.2 s after control has listed it as leaving: the 2 s lease after which every entry knows it, 2% of clock rate, and the time of a message on its way. Ending on the links' closing was ruled out, because an offer may then be lost in either direction.

--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -43,6 +43,9 @@
 	// loop's goroutine only.
 	life    context.Context //nolint:containedctx // The life of the runs that a step of the loop starts.
 	endLife context.CancelFunc
+	// leftAt is the time at which a stopping agent saw itself listed as leaving; it
+	// is used on the loop's goroutine only.
+	leftAt time.Time
 }
 
 // NewAgent returns an agent that has not started.
@@ -188,5 +191,34 @@
 	if err := a.loop.Do(ctx, a.machine.Leave); err != nil {
 		return err
 	}
-	return waitFor(ctx, a.cfg.Clock, a.loop, a.machine.Idle)
+	return waitFor(ctx, a.cfg.Clock, a.loop, func() bool { return a.machine.Idle() && a.isLeaveKnown() })
+}
+
+// offerGrace is how long the agent answers offers after control has listed it as
+// leaving: the lease after which every entry knows it, and the time of a message on
+// its way. An offer without an answer would be in doubt once the agent has gone.
+const offerGrace = 2200 * time.Millisecond
+
+// isLeaveKnown reports whether no entry offers tasks any more. It runs on the loop's
+// goroutine.
+func (a *Agent) isLeaveKnown() bool {
+	cat := a.keeper.Catalog()
+	if !hasEntries(cat) {
+		return true
+	}
+	now := a.cfg.Clock.Now()
+	if a.leftAt.IsZero() && cat.Nodes[a.cfg.Report.Node.ID].State == catalog.Leaving {
+		a.leftAt = now
+	}
+	return !a.leftAt.IsZero() && now.Sub(a.leftAt) >= offerGrace
+}
+
+// hasEntries reports whether an entry is listed that may offer tasks.
+func hasEntries(cat *catalog.Catalog) bool {
+	for _, node := range cat.Nodes {
+		if node.Role == catalog.RoleEntry && node.State == catalog.Serving {
+			return true
+		}
+	}
+	return false
 }
