Stop local clusters in parallel and wait for new profiles

Cause: the demonstration failed with unknown-profile when it submitted a job before every entry had the profile that it had just put, seen in one of two runs. A stopping agent also takes over 2 s while entries serve, one after the other.

Change: PutProfile waits until every entry has the revision in force, and Close stops all processes of a role at once. Having entries ask control for unknown profiles was ruled out: changes are in force within seconds, not at once.

--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -18,6 +18,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -247,13 +248,23 @@
 	return false
 }
 
-// PutProfile creates a profile for the stub endpoints.
+// PutProfile creates a profile for the stub endpoints and waits until every entry
+// has it in force.
 func (c *Cluster) PutProfile(ctx context.Context, name zinniasill.ProfileName, repeat catalog.Repeat) error {
-	_, err := c.Operator().PutProfile(ctx, catalog.Profile{
+	revision, err := c.Operator().PutProfile(ctx, catalog.Profile{
 		Name: name, Kind: Kind, AnswerWithin: time.Minute, ExpectedRunTime: 50 * time.Millisecond,
 		Repeat: repeat, MaxTasks: 1000,
 	}, NewEdit(0))
-	return eris.Wrapf(err, "put profile %s", name)
+	if err != nil {
+		return eris.Wrapf(err, "put profile %s", name)
+	}
+	for _, p := range c.Entries {
+		err := Poll(ctx, p.Name+" to have the profile", func() bool { return p.Revision(ctx) >= revision })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // SetDomain takes a failure domain out of service or returns it.
@@ -290,17 +301,22 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, group := range [][]*Process{c.Entries, c.Agents, c.Controls} {
+		var wait sync.WaitGroup
 		for _, p := range group {
-			if p.Done() == nil {
-				continue
-			}
-			if err := p.Terminate(ctx); err != nil {
-				p.Kill()
+			if p.Done() != nil {
+				wait.Go(func() { stopOrKill(ctx, p) })
 			}
 		}
+		wait.Wait()
 	}
 	c.cancel()
 	for _, stub := range c.Stubs {
 		<-stub.Done()
 	}
 }
+
+func stopOrKill(ctx context.Context, p *Process) {
+	if err := p.Terminate(ctx); err != nil {
+		p.Kill()
+	}
+}
--- a/internal/localcluster/process.go
+++ b/internal/localcluster/process.go
@@ -1,15 +1,21 @@
 package localcluster
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"zinniasill"
 )
 
 // Process is one process of the system that can be stopped and started again with
@@ -115,6 +121,31 @@
 	return p.log.buf.String()
 }
 
+// Revision returns the revision of the configuration that an entry or agent has in
+// force, 0 if it doesn't answer.
+func (p *Process) Revision(ctx context.Context) zinniasill.Revision {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Metrics+"/metrics", nil)
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if strings.HasSuffix(name, "catalog_revision") {
+			number, _ := strconv.ParseFloat(value, 64)
+			return zinniasill.Revision(number)
+		}
+	}
+	return 0
+}
+
 // Poll calls check until it returns true or ctx ends.
 func Poll(ctx context.Context, what string, check func() bool) error {
 	ticker := time.NewTicker(pollPeriod)
