--- /dev/null
+++ b/internal/proctest/agent_test.go
@@ -0,0 +1,201 @@
+package proctest_test
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"zinniasill"
+	"zinniasill/client"
+	"zinniasill/core/catalog"
+	"zinniasill/internal/localcluster"
+)
+
+// startedAt returns the tasks that started at an agent's endpoint.
+func (f *fixture) startedAt(agent int) map[string]int {
+	return f.Stubs[agent].Starts()
+}
+
+// submitAll submits jobs at once and returns the error of each.
+func (f *fixture) submitAll(c *client.Client, jobs []client.Job) []error {
+	failed := make([]error, len(jobs))
+	var wait sync.WaitGroup
+	for i, job := range jobs {
+		wait.Go(func() { failed[i] = f.submit(c, job) })
+	}
+	wait.Wait()
+	return failed
+}
+
+// runningAt returns the tasks that were running at an agent's endpoint at a time,
+// and those that had started before, given the time that each takes.
+func (f *fixture) runningAt(agent int, at time.Time, takes time.Duration) (running, started map[string]bool) {
+	running = map[string]bool{}
+	started = map[string]bool{}
+	for _, start := range f.Stubs[agent].History() {
+		started[start.ID] = true
+		running[start.ID] = start.At.Add(takes).After(at)
+	}
+	return running, started
+}
+
+// awaitBusy waits until several tasks of lostRunTime run at one agent for another
+// second, and returns the agent.
+func (f *fixture) awaitBusy() int {
+	f.Helper()
+	busy := -1
+	f.await("an agent with running tasks", func() bool {
+		for i := range f.Agents {
+			running, _ := f.runningAt(i, time.Now().Add(time.Second), lostRunTime)
+			if countTrue(running) > 1 {
+				busy = i
+			}
+		}
+		return busy >= 0
+	})
+	return busy
+}
+
+func countTrue(set map[string]bool) int {
+	count := 0
+	for _, in := range set {
+		if in {
+			count++
+		}
+	}
+	return count
+}
+
+// checkLost checks that jobs whose task was running at a lost agent fail with
+// ran: unknown and that those that never started there are answered.
+func (f *fixture) checkLost(jobs []client.Job, failed []error, running, started map[string]bool) {
+	f.Helper()
+	unknown := 0
+	for i, job := range jobs {
+		var refused *client.RefusalError
+		id := taskID(job.Key, 0)
+		switch {
+		case !started[id] && failed[i] != nil:
+			f.Errorf("job %s did not start at the lost agent: %v", job.Key, failed[i])
+		case !running[id]:
+		case !errors.As(failed[i], &refused) || refused.Ran != zinniasill.RanUnknown:
+			f.Errorf("job %s started at the lost agent, error %v", job.Key, failed[i])
+		default:
+			unknown++
+		}
+	}
+	if unknown == 0 {
+		f.Error("no job was running at the lost agent")
+	}
+}
+
+// lostRunTime is the run time of tasks that are running when their agent is lost.
+const lostRunTime = 1500 * time.Millisecond
+
+// TestAgentKilled guards against a lost agent whose running tasks are started
+// again, at once or after resubmission, or whose queued tasks are lost with it,
+// also when an agent with the same name comes up at once.
+func TestAgentKilled(t *testing.T) {
+	f := start(t, 3)
+	c := f.client()
+	epoch, err := c.Stamp(f.ctx)
+	f.must(err)
+	var jobs []client.Job
+	for i := range 36 {
+		job := newJob(fmt.Sprintf("lost-%d", i), 1, int(lostRunTime.Milliseconds()))
+		job.Epoch = epoch
+		jobs = append(jobs, job)
+	}
+	done := make(chan []error, 1)
+	go func() { done <- f.submitAll(c, jobs) }()
+	victim := f.awaitBusy()
+	f.Agents[victim].Kill()
+	running, started := f.runningAt(victim, time.Now(), lostRunTime)
+	f.must(f.Agents[victim].Start())
+	failed := <-done
+	f.checkLost(jobs, failed, running, started)
+	var again []client.Job
+	for i, job := range jobs {
+		if failed[i] != nil {
+			again = append(again, job)
+		}
+	}
+	for i, err := range f.submitAll(f.client(1), again) {
+		var refused *client.RefusalError
+		if !errors.As(err, &refused) || refused.Ran != zinniasill.RanUnknown {
+			t.Errorf("resubmitted job %s: %v", again[i].Key, err)
+		}
+	}
+	f.must(f.AwaitReady(f.ctx, f.Agents[victim]))
+	before := len(f.startedAt(victim))
+	l := f.startLoad(6, 20)
+	f.await("the restarted agent to get work", func() bool { return len(f.startedAt(victim)) > before })
+	l.stop(noFailure)
+}
+
+// TestAgentTerminated guards against a planned stop of an agent that cuts a running
+// task, loses a queued one or ends with an error.
+func TestAgentTerminated(t *testing.T) {
+	f := start(t, 3)
+	l := f.startLoad(10, 100)
+	f.must(f.Agents[1].Terminate(f.ctx))
+	if code := f.Agents[1].ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	l.awaitMore(20)
+	l.stop(noFailure)
+}
+
+// TestEndpointLeaves guards against new work at an endpoint later than the bound
+// after operators told it to leave.
+func TestEndpointLeaves(t *testing.T) {
+	f := start(t, 3)
+	l := f.startLoad(8, 50)
+	current, err := f.Operator().Endpoint(f.ctx, "agent-1")
+	var base zinniasill.Revision
+	if err == nil {
+		base = current.Revision
+	}
+	_, err = f.Operator().PutEndpoint(f.ctx, "agent-1", catalog.Leaving, localcluster.NewEdit(base))
+	f.must(err)
+	out := time.Now()
+	f.awaitBound(out)
+	l.awaitMore(16)
+	if late := f.lateStarts(out, time.Now(), 0); len(late) > 0 {
+		t.Errorf("%d late starts at the leaving endpoint, the first %v", len(late), late[0])
+	}
+	l.stop(noFailure)
+}
+
+// TestFrozen guards against a process that continues after its leases ended and
+// acts on what it knew: a second start, or a start in a domain taken out meanwhile.
+func TestFrozen(t *testing.T) {
+	f := start(t, 6)
+	l := f.startLoad(8, 100)
+	agent, entry, replica := f.Agents[0], f.Entries[0], f.leader()
+	f.away = append(f.away, replica)
+	for _, p := range []*localcluster.Process{agent, entry, replica} {
+		p.Signal(syscall.SIGSTOP)
+	}
+	f.awaitDead(agent)
+	f.awaitDead(entry)
+	f.setDomain(f.Domain(0), catalog.DomainOut)
+	out := time.Now()
+	f.awaitBound(out)
+	for _, p := range []*localcluster.Process{replica, agent, entry} {
+		p.Signal(syscall.SIGCONT)
+	}
+	f.await("the agent to return", func() bool {
+		_, listed := f.node(agent.Name)
+		return listed
+	})
+	f.must(f.AwaitReady(f.ctx, replica))
+	l.awaitMore(40)
+	if late := f.lateStarts(out, time.Now(), 0, 3); len(late) > 0 {
+		t.Errorf("%d late starts in the domain, the first %v", len(late), late[0])
+	}
+	l.stop(lostWork)
+}
--- /dev/null
+++ b/internal/proctest/partition_test.go
@@ -0,0 +1,108 @@
+package proctest_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniasill/core/catalog"
+	"zinniasill/internal/localcluster"
+)
+
+// controlNames are the names of the control replicas.
+var controlNames = []string{"control-1", "control-2", "control-3"}
+
+// TestAgentCutOffFromControl guards against an agent that can't hear of a domain
+// taken out of service and goes on starting tasks in it, while entries reach it.
+func TestAgentCutOffFromControl(t *testing.T) {
+	t.Parallel()
+	tests := map[string]func(f *fixture){
+		"both ways": func(f *fixture) { f.network.cut("agent-1", controlNames...) },
+		"replies lost": func(f *fixture) {
+			for _, name := range controlNames {
+				f.network.block(name, "agent-1")
+			}
+		},
+	}
+	for name, cut := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 6)
+			l := f.startLoad(8, 50)
+			cut(f)
+			f.setDomain(f.Domain(0), catalog.DomainOut)
+			out := time.Now()
+			f.awaitBound(out)
+			f.awaitDead(f.Agents[0])
+			l.awaitMore(16)
+			f.network.heal()
+			f.await("the agent to return", func() bool {
+				_, listed := f.node("agent-1")
+				return listed
+			})
+			l.awaitMore(16)
+			if late := f.lateStarts(out, time.Now(), 0, 3); len(late) > 0 {
+				t.Errorf("%d late starts in the domain, the first %v", len(late), late[0])
+			}
+			l.stop(lostWork)
+		})
+	}
+}
+
+// TestAgentCutOff guards against tasks that are lost or started again when an agent
+// is silently cut off from all others, in one or both directions, and returns.
+func TestAgentCutOff(t *testing.T) {
+	t.Parallel()
+	tests := map[string]func(f *fixture){
+		"both ways": func(f *fixture) { f.network.cut("agent-1") },
+		"inward":    func(f *fixture) { f.network.deafen("agent-1") },
+		"outward":   func(f *fixture) { f.network.mute("agent-1") },
+	}
+	for name, cut := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 6)
+			l := f.startLoad(8, 50)
+			cut(f)
+			f.awaitDead(f.Agents[0])
+			l.awaitMore(40)
+			f.network.heal()
+			f.must(f.AwaitReady(f.ctx, f.Agents[0]))
+			before := len(f.startedAt(0))
+			f.await("work at the returned agent", func() bool { return len(f.startedAt(0)) > before })
+			l.stop(lostWork)
+		})
+	}
+}
+
+// TestControlCutOff guards against a control replica that, cut off silently in one
+// or both directions, stops changes or work, or returns with an old configuration.
+func TestControlCutOff(t *testing.T) {
+	t.Parallel()
+	tests := map[string]func(f *fixture, name string){
+		"both ways": func(f *fixture, name string) { f.network.cut(name) },
+		"inward":    func(f *fixture, name string) { f.network.deafen(name) },
+		"outward":   func(f *fixture, name string) { f.network.mute(name) },
+	}
+	for name, cut := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 3)
+			l := f.startLoad(4, 50)
+			leader := f.leader()
+			cut(f, leader.Name)
+			f.away = append(f.away, leader)
+			f.await("another leader", func() bool { return f.leader() != leader })
+			for i := range 60 {
+				f.putQuota(f.Operator(), "cut", 1000+i)
+			}
+			// Longer than every lease and election.
+			cutAt := time.Now()
+			f.await("a long cut", func() bool { return time.Since(cutAt) > 6*time.Second })
+			l.awaitMore(16)
+			f.network.heal()
+			f.await("the replica to have the last change", func() bool {
+				team, err := f.operatorOf(leader).Team(f.ctx, "cut")
+				return err == nil && team.Quota == 1059
+			})
+			f.must(f.AwaitReady(f.ctx, append([]*localcluster.Process{leader}, f.Agents...)...))
+			l.stop(noFailure)
+		})
+	}
+}
