--- a/client/client.go
+++ b/client/client.go
@@ -156,7 +156,9 @@
 // until one of them has the answer. The error is a *RefusalError when the job was
 // refused or failed, and when its outcome could not be learned.
 func (c *Client) Submit(ctx context.Context, job Job) (Answer, error) {
-	if job.Epoch == 0 {
+	// A stamp that the caller gives belongs to an earlier submission of the job.
+	sent := job.Epoch != 0
+	if !sent {
 		epoch, err := c.Stamp(ctx)
 		if err != nil {
 			return Answer{}, eris.Wrapf(err, "submit job %s", job.Key)
@@ -167,7 +169,6 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	sent := false
 	var last error
 	for attempt := 0; attempt < c.cfg.Attempts; {
 		reply, err := c.post(ctx, c.entry(), job, body)
@@ -184,6 +185,9 @@
 			sent = true
 			continue // in progress
 		case !c.again(reply.refusal, &job, sent):
+			if isOutOfService(reply.refusal) {
+				c.moveOn()
+			}
 			return Answer{}, reply.refusal
 		default:
 			last = reply.refusal
@@ -219,6 +223,12 @@
 	return refusal.Retry == zinniasill.RetrySameKey
 }
 
+// isOutOfService reports whether a refusal says that the entry takes no jobs at
+// present. The next job is then sent to another entry.
+func isOutOfService(refusal *RefusalError) bool {
+	return refusal.Code == zinniasill.ReasonShuttingDown || refusal.Code == zinniasill.ReasonLeaseExpired
+}
+
 // unknown is the error for a job whose outcome could not be learned.
 func unknown(key string, cause error) error {
 	return &RefusalError{
