Wait for the restarted agent to be known in TestMissedChanges

Cause: in one of four runs the last job of the test failed with outcome-unknown. The log shows it 1 s after the agent was killed and restarted, before its old incarnation was declared dead; the entry had the last change of the operators, but not yet the agent's replacement, and an offer to a killed agent is in doubt by design.

Change: the test first waits until the entries have the present configuration. Its checks are unchanged.

--- a/internal/proctest/control_test.go
+++ b/internal/proctest/control_test.go
@@ -218,6 +218,9 @@
 		f.must(p.Start())
 	}
 	f.must(f.AwaitReady(f.ctx, down...))
+	// An entry that doesn't know yet that the killed agent was replaced may offer it a
+	// task, which is then rightly in doubt.
+	f.awaitEpoch()
 	f.hasQuota(f.Controls[2], localcluster.Team, 8)
 	for _, p := range down[1:] {
 		f.await(p.Name+" to have the last change", func() bool { return p.Revision(f.ctx) >= last })
