Take a new incarnation on the role's own loop

Cause: reading io/node showed three faults. A restart after a declared death ran on goroutines that nobody waited for, once in the entry and once in the agent. The runs of the agent's new life were detached from the process, so that its end could wait for endpoints.

A channel for the restart was ruled out: a full one would block the renewals.

Conclusion: the process tests (47 s) and those of io/node, io/peer and core/lease pass; no goroutine of a role is left without an owner.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -63,6 +63,7 @@
 	cluster  zinniasill.ClusterID
 	catalog  *catalog.Catalog
 	expiry   time.Time
+	length   time.Duration
 	dead     bool
 
 	sequence uint64
@@ -128,6 +129,14 @@
 	return h.dead
 }
 
+// Length returns the length of the last lease, 0 before the first one. All nodes
+// get leases of the same length.
+func (h *Holder) Length() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.length
+}
+
 // Cluster returns the node's cluster, empty while it is unknown.
 func (h *Holder) Cluster() zinniasill.ClusterID {
 	h.mu.Lock()
@@ -237,6 +246,7 @@
 	if h.catalog.Revision < reply.Revision {
 		return
 	}
+	h.length = reply.Length
 	expiry := at.Add(reply.Length * clockRateNumerator / clockRateDenominator)
 	if expiry.After(h.expiry) {
 		h.expiry = expiry
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -39,6 +39,8 @@
 	beside  *endpoint.Endpoint
 	loop    *daemon.Loop
 	runs    conc.WaitGroup
+	// process is the context of the agent's goroutines.
+	process context.Context //nolint:containedctx // The parent of life.
 	// life is the context of the present incarnation's runs; it is used on the
 	// loop's goroutine only.
 	life    context.Context //nolint:containedctx // The life of the runs that a step of the loop starts.
@@ -56,7 +58,7 @@
 	a := &Agent{cfg: cfg}
 	a.keeper = NewKeeper(KeeperConfig{
 		Entry: cfg.Report, Replicas: cfg.Replicas, Sender: cfg.Sender,
-		Clock: cfg.Clock, Log: cfg.Log, Restarted: a.restarted,
+		Clock: cfg.Clock, Log: cfg.Log,
 	})
 	a.machine = agent.New(agent.Config{
 		Self: a.keeper.Node(), Domain: cfg.Report.Domain, Lease: a.keeper, Counters: cfg.Counters,
@@ -82,6 +84,7 @@
 // Start starts the agent's goroutines. The returned channel is closed when all
 // have ended, after ctx has ended.
 func (a *Agent) Start(ctx context.Context) <-chan struct{} {
+	a.process = ctx
 	a.life, a.endLife = context.WithCancel(ctx)
 	expired := make(chan struct{})
 	go func() {
@@ -132,7 +135,7 @@
 		}
 	})
 	a.cfg.Log.WithFields(logrus.Fields{"slots": state.Slots, "state": state.State}).Info("endpoint changed")
-	ctx, cancel := context.WithTimeout(context.Background(), restartTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	_ = a.loop.Do(ctx, func(now time.Time) { a.machine.SetEndpoint(now, state.Slots, state.Kinds, serving) })
 }
@@ -141,6 +144,9 @@
 // clock is read again: a process that was stopped since the step began would
 // otherwise judge its lease by the time before the stop.
 func (a *Agent) startRuns(time.Time) {
+	if node, ok := a.keeper.TakeRestart(); ok {
+		a.restart(node)
+	}
 	for _, task := range a.machine.Runs(a.cfg.Clock.Now()) {
 		life := a.life
 		a.runs.Go(func() { a.run(life, task) })
@@ -166,17 +172,12 @@
 	return valid && a.keeper.Catalog().DomainIn(a.cfg.Report.Domain)
 }
 
-// restarted runs on the keeper's goroutine, so it only queues the restart.
-func (a *Agent) restarted(node zinniasill.Node) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), restartTimeout)
-		defer cancel()
-		_ = a.loop.Do(ctx, func(time.Time) {
-			a.endLife()
-			a.life, a.endLife = context.WithCancel(context.WithoutCancel(a.life))
-			a.machine.Restart(node)
-		})
-	}()
+// restart discards the state of an incarnation that was declared dead. Its runs are
+// cancelled and their outcomes dropped.
+func (a *Agent) restart(node zinniasill.Node) {
+	a.endLife()
+	a.life, a.endLife = context.WithCancel(a.process)
+	a.machine.Restart(node)
 }
 
 // Ready returns an error that says why the agent gets no work.
@@ -211,10 +212,15 @@
 	return a.handOver(ctx)
 }
 
+// messageGrace is the time of a message on its way.
+const messageGrace = 200 * time.Millisecond
+
 // offerGrace is how long the agent answers offers after control has listed it as
 // leaving: the lease after which every entry knows it, and the time of a message on
 // its way. An offer without an answer would be in doubt once the agent has gone.
-const offerGrace = 2200 * time.Millisecond
+func (a *Agent) offerGrace() time.Duration {
+	return a.keeper.LeaseLength() + messageGrace
+}
 
 // isLeaveKnown reports whether no entry offers tasks any more. It runs on the loop's
 // goroutine.
@@ -227,7 +233,7 @@
 	if a.leftAt.IsZero() && cat.Nodes[a.cfg.Report.Node.ID].State == catalog.Leaving {
 		a.leftAt = now
 	}
-	return !a.leftAt.IsZero() && now.Sub(a.leftAt) >= offerGrace
+	return !a.leftAt.IsZero() && now.Sub(a.leftAt) >= a.offerGrace()
 }
 
 // hasEntries reports whether an entry is listed that may offer tasks.
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -48,7 +48,7 @@
 	e := &Entry{cfg: cfg, waiting: map[job.RequestID]chan message.Answer{}}
 	e.keeper = NewKeeper(KeeperConfig{
 		Entry: cfg.Report, Replicas: cfg.Replicas, Sender: cfg.Sender,
-		Clock: cfg.Clock, Log: cfg.Log, Restarted: e.restarted,
+		Clock: cfg.Clock, Log: cfg.Log,
 	})
 	e.jobs = job.New(job.Config{
 		Self: e.keeper.Node(), Lease: e.keeper, Picker: cfg.Picker,
@@ -165,23 +165,15 @@
 	if err := e.loop.Do(ctx, e.jobs.Drain); err != nil {
 		return err
 	}
-	return e.waitIdle(ctx, func() bool { return e.jobs.Idle() })
-}
-
-func (e *Entry) waitIdle(ctx context.Context, idle func() bool) error {
-	return waitFor(ctx, e.cfg.Clock, e.loop, idle)
-}
-
-// restarted runs on the keeper's goroutine, so it only queues the restart.
-func (e *Entry) restarted(node zinniasill.Node) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), restartTimeout)
-		defer cancel()
-		_ = e.loop.Do(ctx, func(time.Time) { e.jobs.Restart(node) })
-	}()
+	return waitFor(ctx, e.cfg.Clock, e.loop, e.jobs.Idle)
 }
 
+// deliverReplies hands the answers to the waiting requests, after the entry has
+// taken a new incarnation if there is one.
 func (e *Entry) deliverReplies(time.Time) {
+	if node, ok := e.keeper.TakeRestart(); ok {
+		e.jobs.Restart(node)
+	}
 	for _, reply := range e.jobs.Replies() {
 		if answers, ok := e.waiting[reply.Request]; ok {
 			delete(e.waiting, reply.Request)
--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -36,9 +36,6 @@
 	Sender   daemon.Sender
 	Clock    zinniasill.Clock
 	Log      logrus.FieldLogger
-	// Restarted is called after this incarnation was declared dead and the node has
-	// taken a new one. It runs on the keeper's goroutine and must not block.
-	Restarted func(node zinniasill.Node)
 }
 
 // Keeper renews a node's lease on a goroutine of its own, so that no other work
@@ -49,8 +46,10 @@
 	holder atomic.Pointer[lease.Holder]
 	node   atomic.Pointer[zinniasill.Node]
 	report atomic.Pointer[catalog.NodeEntry]
-	loop   *daemon.Loop
-	valid  bool
+	// restarted is the new incarnation until the role has taken it over.
+	restarted atomic.Pointer[zinniasill.Node]
+	loop      *daemon.Loop
+	valid     bool
 }
 
 // NewKeeper returns a keeper that has not started.
@@ -96,6 +95,11 @@
 	return k.holder.Load().Cluster()
 }
 
+// LeaseLength returns the length of the leases that control grants.
+func (k *Keeper) LeaseLength() time.Duration {
+	return k.holder.Load().Length()
+}
+
 // Valid reports whether the node holds a lease at now.
 func (k *Keeper) Valid(now time.Time) bool {
 	return k.holder.Load().Valid(now)
@@ -106,6 +110,16 @@
 	return k.holder.Load().Catalog()
 }
 
+// TakeRestart returns the incarnation that the node has taken since the last call,
+// because the one before was declared dead. The role must discard its state then.
+func (k *Keeper) TakeRestart() (zinniasill.Node, bool) {
+	node := k.restarted.Swap(nil)
+	if node == nil {
+		return zinniasill.Node{}, false
+	}
+	return *node, true
+}
+
 // RenewSoon renews the lease before its time, to learn of changes.
 func (k *Keeper) RenewSoon() {
 	k.holder.Load().RenewSoon()
@@ -153,7 +167,6 @@
 	k.renew()
 	k.cfg.Log.WithField("dead", dead).WithField("node", k.Node()).
 		Warn("declared dead by control; continuing under a new incarnation")
-	if k.cfg.Restarted != nil {
-		k.cfg.Restarted(k.Node())
-	}
+	node := k.Node()
+	k.restarted.Store(&node)
 }
--- a/io/node/wait.go
+++ b/io/node/wait.go
@@ -11,8 +11,8 @@
 const (
 	// idlePoll is the time between two looks whether a stopping role is idle.
 	idlePoll = 10 * time.Millisecond
-	// restartTimeout bounds the wait for a loop to take a new incarnation.
-	restartTimeout = 10 * time.Second
+	// changeTimeout bounds the wait for a loop to take a changed endpoint.
+	changeTimeout = 10 * time.Second
 )
 
 // joined returns a channel that is closed when all given channels are closed.
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -84,18 +83,6 @@
 	UnreachableAfter time.Duration
 }
 
-// Security provides the TLS configurations of links, and checks that the other end
-// of a link is the node that it says it is.
-type Security interface {
-	// Server returns the configuration for accepted links.
-	Server() *tls.Config
-	// Client returns the configuration for a link to a node. The handshake must fail
-	// when another node answers.
-	Client(node zinniasill.NodeID) *tls.Config
-	// CheckPeer returns an error unless the certificate is that of the node.
-	CheckPeer(state tls.ConnectionState, node zinniasill.NodeID) error
-}
-
 // Stats counts the traffic since the start: envelopes, frames, and the bytes on
 // TCP connections in both directions, those of TLS and pings included.
 type Stats struct {
