Kill the agent of TestAgentKilled only once all offers are answered

The agent was killed while offers to it were on their way.

Change: the test first waits until every task has started or waits at an agent, seen in two looks; all its checks stay as they are. For this, and for operators, agents serve agent_busy_slots and agent_queued_tasks. Allowing unknown for jobs that did not start was ruled out: it would hide queued tasks that are lost.

--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -183,3 +183,8 @@
 		Succeeded:   a.succeeded,
 	}
 }
+
+// Occupancy returns the number of slots in use and of queued tasks.
+func (a *Agent) Occupancy() (busy, queued int) {
+	return len(a.running) + a.reserved, a.queue.count
+}
--- a/internal/proctest/agent_test.go
+++ b/internal/proctest/agent_test.go
@@ -42,6 +42,27 @@
 	return running, started
 }
 
+// awaitPlaced waits until every one of a number of tasks has started or waits at an
+// agent, and two looks agree on it, so that the answers to their offers have left.
+// An offer without an answer is in doubt when its agent dies, and its job then fails
+// with ran: unknown by design, whether or not it had reached the agent.
+func (f *fixture) awaitPlaced(tasks int) {
+	f.Helper()
+	looks := 0
+	f.await("all tasks to be placed", func() bool {
+		placed := 0
+		for i, agent := range f.Agents {
+			queued, _ := localcluster.Gauge(f.ctx, agent, "zinniasill_agent_queued_tasks")
+			placed += int(queued) + len(f.startedAt(i))
+		}
+		looks++
+		if placed != tasks {
+			looks = 0
+		}
+		return looks == 2
+	})
+}
+
 // awaitBusy waits until several tasks of lostRunTime run at one agent for another
 // second, and returns the agent.
 func (f *fixture) awaitBusy() int {
@@ -111,6 +132,7 @@
 	}
 	done := make(chan []error, 1)
 	go func() { done <- f.submitAll(c, jobs) }()
+	f.awaitPlaced(len(jobs))
 	victim := f.awaitBusy()
 	f.Agents[victim].Kill()
 	running, started := f.runningAt(victim, time.Now(), lostRunTime)
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,6 +40,8 @@
 	beside  *endpoint.Endpoint
 	loop    *daemon.Loop
 	runs    conc.WaitGroup
+	// busy and queued are the machine's occupancy after its last step.
+	busy, queued atomic.Int64
 	// process is the context of the agent's goroutines.
 	process context.Context //nolint:containedctx // The parent of life.
 	// life is the context of the present incarnation's runs; it is used on the
@@ -151,6 +154,9 @@
 		life := a.life
 		a.runs.Go(func() { a.run(life, task) })
 	}
+	busy, queued := a.machine.Occupancy()
+	a.busy.Store(int64(busy))
+	a.queued.Store(int64(queued))
 }
 
 func (a *Agent) run(life context.Context, task zinniasill.Task) {
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -263,6 +263,8 @@
 		Report: report, Replicas: shuffled(newRand(), p.memberNames()), Sender: link,
 		Clock: p.clock, Counters: p.metrics, Log: p.log,
 	})
+	p.metrics.Gauge("agent_busy_slots", func() float64 { return float64(role.busy.Load()) })
+	p.metrics.Gauge("agent_queued_tasks", func() float64 { return float64(role.queued.Load()) })
 	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
 	p.join(report.Node.ID, role.Deliver)
 	return role
