--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	bin/demo
 
 test:
-	$(GO) test -count=1 $(SKIP) ./...
+	$(GO) test -count=1 $(SKIP) $$($(GO) list ./... | grep -v /internal/proctest)
+	$(GO) test -count=1 $(SKIP) ./internal/proctest
 
 race:
 	$(GO) test -count=1 -race $(SKIP) ./io/... ./client/...
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -25,6 +25,7 @@
 type options struct {
 	binary string
 	out    string
+	note   string
 	label  string
 	seed   uint64
 	step   time.Duration
@@ -50,6 +51,8 @@
 	app.Flag("binary", "The zinniasill program.").Default("bin/zinniasill").StringVar(&o.binary)
 	app.Flag("out", "Folder for the raw figures.").Default("docs/measurements").StringVar(&o.out)
 	app.Flag("label", "Suffix of the file names, to tell versions apart.").StringVar(&o.label)
+	app.Flag("note", "What else the machine did, for the head of the files.").
+		Default("shared machine, other work ran at the same time").StringVar(&o.note)
 	app.Flag("seed", "Seed of the payloads and the pacing.").Default("20261204").Uint64Var(&o.seed)
 	app.Flag("step", "Length of one measured step.").Default("5s").DurationVar(&o.step)
 	app.Flag("limit", "Time after which the measurement stops.").Default("3m").DurationVar(&o.limit)
@@ -108,7 +111,7 @@
 	}
 	defer func() { _ = file.Close() }()
 	args := strings.Join(os.Args[1:], " ")
-	note := "# load " + args + "; seed " + strconv.FormatUint(o.seed, 10) + "; shared machine, other work ran at the same time\n"
+	note := "# load " + args + "; seed " + strconv.FormatUint(o.seed, 10) + "; " + o.note + "\n"
 	if _, err := file.WriteString(note); err != nil {
 		return eris.Wrapf(err, "write %s", name)
 	}
