--- a/io/daemon/loop.go
+++ b/io/daemon/loop.go
@@ -56,7 +56,7 @@
 	// messages of the step are sent. It carries out the machine's other outputs.
 	// Messages that depend on a write leave only once After has returned.
 	After func(now time.Time)
-	// Dropped, if set, is called for each message dropped by a full mailbox.
+	// Dropped, if set, is called for each message or step dropped by a full mailbox.
 	Dropped func()
 }
 
@@ -127,7 +127,12 @@
 // Deliver hands a message to the machine. It never blocks; a message that does
 // not fit into the mailbox is dropped.
 func (l *Loop) Deliver(env message.Envelope) {
-	step := func(now time.Time) { l.cfg.Machine.Receive(now, env) }
+	l.Post(func(now time.Time) { l.cfg.Machine.Receive(now, env) })
+}
+
+// Post runs step on the loop's goroutine. It never blocks; a step that does not fit
+// into the mailbox is dropped.
+func (l *Loop) Post(step func(now time.Time)) {
 	select {
 	case l.mailbox <- step:
 	default:
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -237,7 +237,7 @@
 		Resolve: p.resolver(role.Keeper()), Route: routeToHost(role.Keeper()),
 		Notify: func(event peer.Event) {
 			if event.State == peer.Down {
-				go role.LinkDown(context.Background(), event.Peer)
+				role.LinkDown(event.Peer)
 			}
 		},
 	})
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -82,8 +82,8 @@
 }
 
 // LinkDown tells the entry that the link to a node was lost.
-func (e *Entry) LinkDown(ctx context.Context, node zinniasill.NodeID) {
-	_ = e.loop.Do(ctx, func(now time.Time) { e.jobs.Disconnected(now, node) })
+func (e *Entry) LinkDown(node zinniasill.NodeID) {
+	e.loop.Post(func(now time.Time) { e.jobs.Disconnected(now, node) })
 }
 
 // Submit hands in a job and waits for its answer. When ctx ends first, the job
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +60,8 @@
 	identity *identity.Source
 	servers  []server
 	roles    []role
+	// stopping is set once the graceful stop has begun.
+	stopping atomic.Bool
 	// start starts the goroutines of the roles.
 	start []func(ctx context.Context) <-chan error
 }
@@ -114,6 +117,9 @@
 // Ready returns an error that says why the process should get no work.
 func (p *Process) Ready() error {
 	var problems []error
+	if p.stopping.Load() {
+		problems = append(problems, eris.New("the process is stopping"))
+	}
 	for _, r := range p.roles {
 		problems = append(problems, r.Ready())
 	}
@@ -148,6 +154,7 @@
 	select {
 	case <-ctx.Done():
 		p.log.Info("stopping")
+		p.stopping.Store(true)
 		p.stop()
 	case fault = <-failed:
 		p.log.WithError(fault).Error("stopping after a fault")
