Find and cancel a job through any entry

Cause: behind the balancer a status or cancel request reaches any entry, and only the owner of the job could answer it; the others said not-found.

Finding the owner by its claim register was ruled out: it needs the claim group and then the owner, two round trips, for what one message to each of a few entries tells. Node.Compare replaces two copies of the same comparison.

--- a/core/catalog/epoch.go
+++ b/core/catalog/epoch.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -103,10 +102,7 @@
 }
 
 func compareMembers(a, b EpochMember) int {
-	return cmp.Or(
-		cmp.Compare(a.Node.ID, b.Node.ID),
-		cmp.Compare(a.Node.Incarnation, b.Node.Incarnation),
-	)
+	return a.Node.Compare(b.Node)
 }
 
 // Eligible returns the agents that serve, sorted by id. The next epoch is made of
--- a/core/control/duties.go
+++ b/core/control/duties.go
@@ -181,7 +181,7 @@
 	for node := range d.tracks {
 		nodes = append(nodes, node)
 	}
-	slices.SortFunc(nodes, compareNodes)
+	slices.SortFunc(nodes, zinniasill.Node.Compare)
 	for _, node := range nodes {
 		t := d.tracks[node]
 		silent := now.Sub(t.renewed) >= d.cfg.DeadAfter
--- a/core/control/execute.go
+++ b/core/control/execute.go
@@ -1,16 +1,10 @@
 package control
 
 import (
-	"cmp"
-
 	"zinniasill"
 	"zinniasill/core/catalog"
 )
 
-func compareNodes(a, b zinniasill.Node) int {
-	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
 // conflict refuses a change whose base is not the object's current revision.
 func conflict(base, current zinniasill.Revision) (Result, bool) {
 	if base == current {
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -113,6 +113,8 @@
 	kept      kept
 	outbox    []message.Envelope
 	replies   []Reply
+	inquiries []*inquiry
+	found     []Found
 	revision  zinniasill.Revision
 	entries   int
 	sequence  uint64
@@ -223,13 +225,20 @@
 	case message.Attach:
 		c.attach(env.From, body)
 	case message.AttachReply:
+		status := Status{Known: body.Known, State: "elsewhere", Answer: body.Answer}
+		c.inquiryReply(now, env.From, body.Key, false, Found{Status: status})
 		c.attachReply(now, env.From, body)
+	case message.Cancel:
+		c.cancelFor(now, env.From, body)
+	case message.CancelReply:
+		c.inquiryReply(now, env.From, body.Key, true, Found{Cancelled: body.Done})
 	}
 }
 
 // Tick handles the passing of time.
 func (c *Coordinator) Tick(now time.Time) {
 	c.refresh(now)
+	c.endInquiries(now)
 	for {
 		r := c.timers.pop(now)
 		if r == nil {
--- a/core/message/task.go
+++ b/core/message/task.go
@@ -152,6 +152,18 @@
 	Answer *Answer `cbor:"3,keyasint,omitempty"`
 }
 
+// Cancel asks another entry to cancel a job if it owns it.
+type Cancel struct {
+	Key zinniasill.Key `cbor:"1,keyasint"`
+}
+
+// CancelReply answers Cancel.
+type CancelReply struct {
+	Key zinniasill.Key `cbor:"1,keyasint"`
+	// Done is true when the entry owns the job and is cancelling it.
+	Done bool `cbor:"2,keyasint,omitempty"`
+}
+
 // Submission is a job as a caller submits it.
 type Submission struct {
 	Key zinniasill.Key
--- a/id.go
+++ b/id.go
@@ -1,6 +1,9 @@
 package zinniasill
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // NodeID names one process of the system (a control replica, an entry or an
 // agent). It is unique in a cluster and stays the same across restarts.
@@ -21,6 +24,12 @@
 	return fmt.Sprintf("%s/%x", n.ID, uint64(n.Incarnation))
 }
 
+// Compare returns -1, 0 or 1 as n sorts before, like or after other, by id and then
+// by incarnation.
+func (n Node) Compare(other Node) int {
+	return cmp.Or(cmp.Compare(n.ID, other.ID), cmp.Compare(n.Incarnation, other.Incarnation))
+}
+
 // ClusterID identifies a cluster from its formation on. Messages of another
 // cluster are refused.
 type ClusterID string
--- a/internal/proctest/entry_test.go
+++ b/internal/proctest/entry_test.go
@@ -1,8 +1,11 @@
 package proctest_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
@@ -94,3 +97,46 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK || response.StatusCode == http.StatusAccepted
 }
+
+// ask sends a request about a job to an entry and returns the status and body.
+func (f *fixture) ask(method string, entry int, key string) (int, string) {
+	f.Helper()
+	url := "http://" + f.Entries[entry].HTTP + "/v1/jobs/" + key + "?team=" + localcluster.Team
+	request, err := http.NewRequestWithContext(f.ctx, method, url, nil)
+	f.must(err)
+	response, err := http.DefaultClient.Do(request)
+	f.must(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	f.must(err)
+	return response.StatusCode, string(body)
+}
+
+// TestAnyEntry guards against a job that callers behind the balancer can neither
+// find nor cancel unless they reach the entry that owns it.
+func TestAnyEntry(t *testing.T) {
+	f := start(t, 3)
+	var jobs []client.Job
+	// More tasks than slots, so that most of them wait when the job is cancelled.
+	job := newJob("anywhere", 60, 1500)
+	jobs = append(jobs, job)
+	done := make(chan []error, 1)
+	go func() { done <- f.submitAll(f.client(0), jobs) }()
+	f.await("a task to start", func() bool { return len(f.Starts()) > 0 })
+	if status, body := f.ask(http.MethodGet, 1, job.Key); status != http.StatusOK || !strings.Contains(body, "in-progress") {
+		t.Errorf("status at the other entry: %d %s", status, body)
+	}
+	if status, body := f.ask(http.MethodGet, 1, "nowhere"); status != http.StatusNotFound {
+		t.Errorf("status of no job: %d %s", status, body)
+	}
+	if status, body := f.ask(http.MethodDelete, 1, job.Key); status != http.StatusAccepted {
+		t.Errorf("cancel at the other entry: %d %s", status, body)
+	}
+	var refused *client.RefusalError
+	if err := (<-done)[0]; !errors.As(err, &refused) || refused.Code != zinniasill.ReasonCancelled {
+		t.Errorf("cancelled job: %v", err)
+	}
+	if started := len(f.Starts()); started >= len(job.Tasks) {
+		t.Errorf("all %d tasks started", started)
+	}
+}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -153,7 +153,7 @@
 	case err != nil:
 		h.refuse(w, key.Client, stopped())
 	case !status.Known:
-		h.writeError(w, http.StatusNotFound, key.Client, notHere())
+		h.writeError(w, http.StatusNotFound, key.Client, notFound())
 	case status.Answer != nil:
 		h.answer(w, key.Client, *status.Answer)
 	default:
@@ -163,12 +163,12 @@
 	}
 }
 
-// notHere is the answer for a job that this entry has no record of. Another entry
-// may own it, so that nothing can be said about what ran.
-func notHere() message.Answer {
+// notFound is the answer for a job that no entry in reach has a record of. Its owner
+// may be out of reach, so that nothing can be said about what ran.
+func notFound() message.Answer {
 	return message.Answer{
 		Code: codeNotFound, Ran: zinniasill.RanUnknown, Retry: zinniasill.RetrySameKey,
-		Message: "this entry has no record of the job; submit it again with the same key to get its answer",
+		Message: "no entry that answers has a record of the job; submit it again with the same key to get its answer",
 	}
 }
 
@@ -179,7 +179,7 @@
 	case err != nil:
 		h.refuse(w, key.Client, stopped())
 	case !cancelled:
-		h.writeError(w, http.StatusNotFound, key.Client, notHere())
+		h.writeError(w, http.StatusNotFound, key.Client, notFound())
 	default:
 		h.write(w, http.StatusAccepted, JobStatus{Key: key.Client, State: StateCancelling})
 	}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -37,15 +37,20 @@
 	jobs   *job.Coordinator
 	loop   *daemon.Loop
 	last   atomic.Uint64
-	// waiting is used on the loop's goroutine only.
-	waiting map[job.RequestID]chan message.Answer
+	// waiting and inquiries are used on the loop's goroutine only.
+	waiting   map[job.RequestID]chan message.Answer
+	inquiries map[job.RequestID]chan job.Found
 }
 
 // NewEntry returns an entry that has not started.
 func NewEntry(cfg EntryConfig) *Entry {
 	cfg.Report.Role = catalog.RoleEntry
 	cfg.Report.State = catalog.Serving
-	e := &Entry{cfg: cfg, waiting: map[job.RequestID]chan message.Answer{}}
+	e := &Entry{
+		cfg:       cfg,
+		waiting:   map[job.RequestID]chan message.Answer{},
+		inquiries: map[job.RequestID]chan job.Found{},
+	}
 	e.keeper = NewKeeper(KeeperConfig{
 		Entry: cfg.Report, Replicas: cfg.Replicas, Sender: cfg.Sender,
 		Clock: cfg.Clock, Log: cfg.Log,
@@ -123,18 +128,50 @@
 	})
 }
 
-// Status returns what the entry knows of a job.
+// Status returns what this entry or, if it has no record of the job, any other entry
+// knows of it.
 func (e *Entry) Status(ctx context.Context, key zinniasill.Key) (job.Status, error) {
 	var status job.Status
 	err := e.loop.Do(ctx, func(now time.Time) { status = e.jobs.Status(now, key) })
-	return status, err
+	if err != nil || status.Known {
+		return status, err
+	}
+	found, err := e.inquire(ctx, key, e.jobs.Locate)
+	return found.Status, err
 }
 
-// Cancel cancels a job that this entry owns. It returns false when there is none.
+// Cancel cancels a job at the entry that owns it. It returns false when no entry
+// that answers does.
 func (e *Entry) Cancel(ctx context.Context, key zinniasill.Key) (bool, error) {
 	cancelled := false
 	err := e.loop.Do(ctx, func(now time.Time) { cancelled = e.jobs.Cancel(now, key) })
-	return cancelled, err
+	if err != nil || cancelled {
+		return cancelled, err
+	}
+	found, err := e.inquire(ctx, key, e.jobs.CancelElsewhere)
+	return found.Cancelled, err
+}
+
+// inquire asks the other entries and waits for the result.
+func (e *Entry) inquire(
+	ctx context.Context, key zinniasill.Key, ask func(time.Time, job.RequestID, zinniasill.Key),
+) (job.Found, error) {
+	id := job.RequestID(e.last.Add(1))
+	results := make(chan job.Found, 1)
+	err := e.loop.Do(ctx, func(now time.Time) {
+		e.inquiries[id] = results
+		ask(now, id, key)
+	})
+	if err != nil {
+		return job.Found{}, err
+	}
+	// The coordinator ends every inquiry, so that the entry in the map goes too.
+	select {
+	case found := <-results:
+		return found, nil
+	case <-ctx.Done():
+		return job.Found{}, ctx.Err()
+	}
 }
 
 // Epoch returns the current epoch, 0 if none is known.
@@ -180,4 +217,10 @@
 			answers <- reply.Answer
 		}
 	}
+	for _, found := range e.jobs.Found() {
+		if results, ok := e.inquiries[found.Request]; ok {
+			delete(e.inquiries, found.Request)
+			results <- found
+		}
+	}
 }
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -59,6 +59,8 @@
 		{Number: 18, Sample: message.Attach{}},
 		{Number: 30, Sample: message.ClaimBatch{}},
 		{Number: 31, Sample: message.ClaimReplies{}},
+		{Number: 32, Sample: message.Cancel{}},
+		{Number: 33, Sample: message.CancelReply{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
 		{Number: 20, Sample: message.HandoverPart{}, Class: Bulk},
 		{Number: 21, Sample: message.HandoverAck{}},
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -70,6 +70,8 @@
 	anyOf[message.AttachReply](),
 	claimBatch,
 	anyOf[message.ClaimReplies](),
+	anyOf[message.Cancel](),
+	anyOf[message.CancelReply](),
 	anyOf[message.HandoverPart](),
 	anyOf[message.HandoverAck](),
 }
