--- a/cmd/load/starts.go
+++ b/cmd/load/starts.go
@@ -112,7 +112,7 @@
 	callers.Wait()
 	if s.rate > 0 {
 		// A step at a low rate may have no job due near its end.
-		d.rest(ctx, length-time.Since(began))
+		d.pause(ctx, length-time.Since(began))
 	}
 	result.took = time.Since(began)
 	slices.Sort(result.latencies)
@@ -129,11 +129,11 @@
 	if due >= length {
 		return false
 	}
-	return d.rest(ctx, due-time.Since(began))
+	return d.pause(ctx, due-time.Since(began))
 }
 
-// rest waits for a time. It reports false when ctx ends before.
-func (d *driver) rest(ctx context.Context, length time.Duration) bool {
+// pause waits for a time. It reports false when ctx ends before.
+func (d *driver) pause(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
