Show the process tests failing by deliberate faults

Putting the faults in on a scratch copy showed that TestAgentCutOffFromControl passes also when agents do not check their lease: entries that hear of the domain stop offering, so the agent's lease was not needed there.

Change: TestAllCutOffFromControl cuts entries and agents from control together, with tasks waiting in the domain, so that only the agent's own lease stops them.

--- a/internal/proctest/partition_test.go
+++ b/internal/proctest/partition_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"zinniasill/client"
 	"zinniasill/core/catalog"
 	"zinniasill/internal/localcluster"
 )
@@ -47,6 +48,32 @@
 	}
 }
 
+// TestAllCutOffFromControl guards against entries and agents that together lose
+// control and go on with the tasks that wait in a domain taken out meanwhile: the
+// entry cannot tell the agent, so that only the agent's own lease stops it.
+func TestAllCutOffFromControl(t *testing.T) {
+	f := start(t, 3)
+	// Enough tasks for about ten seconds, well past the bound on late starts.
+	jobs := []client.Job{newJob("waiting", 240, 500)}
+	done := make(chan []error, 1)
+	go func() { done <- f.submitAll(f.client(0), jobs) }()
+	f.await("tasks to start", func() bool { return len(f.startedAt(0)) > 0 })
+	for _, p := range append(f.Entries[:2:2], f.Agents...) {
+		f.network.cut(p.Name, controlNames...)
+	}
+	f.setDomain(f.Domain(0), catalog.DomainOut)
+	out := time.Now()
+	f.awaitBound(out)
+	if late := f.lateStarts(out, time.Now(), 0); len(late) > 0 {
+		t.Errorf("%d late starts in the domain, the first %v", len(late), late[0])
+	}
+	f.network.heal()
+	// The job may fail, because its agents were declared dead; the witness checks
+	// what the caller is told.
+	<-done
+	f.must(f.AwaitReady(f.ctx, f.Entries[1])) // the other one is in the domain
+}
+
 // TestAgentCutOff guards against tasks that are lost or started again when an agent
 // is silently cut off from all others, in one or both directions, and returns.
 func TestAgentCutOff(t *testing.T) {
