Bound the time of a run at the endpoint

Cause: a run on a connection to the endpoint that went silent, while the endpoint kept announcing itself, never ended and held its slot for good.

A bound from the expected run time was ruled out: declared times may be wrong by ten times, and a run that is given up too early turns a late success into an unknown outcome.

Conclusion: TestSilentEndpoint, with a bound of 50 ms, passes; without the bound its run does not end.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -66,8 +66,15 @@
 	// Changed is called when the announced state changed, one call at a time and in
 	// the order of the changes. It must not call the Endpoint.
 	Changed func(Announcement)
+	// RunTimeout bounds one run, DefaultRunTimeout if 0. A connection that went
+	// silent would otherwise hold a slot for good.
+	RunTimeout time.Duration
 }
 
+// DefaultRunTimeout is the longest time that a profile may allow for an answer.
+// Nobody waits for a result after it.
+const DefaultRunTimeout = control.MaxAnswerWithin
+
 // Endpoint is the endpoint beside an agent. Use New.
 type Endpoint struct {
 	cfg    Config
@@ -84,6 +91,9 @@
 
 // New returns an endpoint that has not announced itself.
 func New(cfg Config) *Endpoint {
+	if cfg.RunTimeout == 0 {
+		cfg.RunTimeout = DefaultRunTimeout
+	}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxSlots,
@@ -184,6 +194,8 @@
 	base := e.known.URL
 	e.mu.Unlock()
 	id := task.Key.String() + "/" + strconv.FormatUint(uint64(task.Index), 10)
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.RunTimeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/run", bytes.NewReader(task.Payload))
 	if err != nil {
 		return e.failed(reasonNoAnswer, err.Error())
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -294,3 +295,26 @@
 		t.Fatal("the expiry was reported last")
 	}
 }
+
+// TestSilentEndpoint guards against a run on a connection that went silent, which
+// would hold its slot for good.
+func TestSilentEndpoint(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	defer close(release)
+	beside := endpoint.New(endpoint.Config{
+		Clock: &clock{}, Counters: &counters{count: map[zinniasill.Reason]int{}},
+		Changed: func(endpoint.Announcement) {}, RunTimeout: 50 * time.Millisecond,
+	})
+	body := `{"url":"` + server.URL + `","slots":1,"kinds":["cards"],"state":"serving"}`
+	recorder := httptest.NewRecorder()
+	beside.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodPut, "/v1/endpoint", strings.NewReader(body)))
+	if recorder.Code != http.StatusNoContent {
+		t.Fatalf("announcement: %d %s", recorder.Code, recorder.Body)
+	}
+	outcome := beside.Run(t.Context(), task("silent", "payload"))
+	if outcome.OK || outcome.Ran != zinniasill.RanUnknown {
+		t.Errorf("outcome %+v", outcome)
+	}
+}
