Check the lease when a run is written to the endpoint

The lease was checked before the HTTP client took a connection; between the check and the write lie a look-up of the connection or a dial and two changes of goroutine. An agent that is stopped there writes the request when it continues.

Change: the connection to the endpoint asks for the lease and the domain in the call that writes the first byte of a run. A refused run is not-run and counted as may-not-start. The check before the HTTP client is gone. Ruled out: a start time in the request for the endpoint to check, which needs clocks that agree. The peer test fills the queue of a transport that doesn't give up its peer.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -3,7 +3,7 @@
 // The endpoint announces itself with PUT /v1/endpoint about every second; the
 // agent runs a task by POST {url}/run:
 //
-//	beside := endpoint.New(endpoint.Config{Clock: clock, Counters: counters, Changed: changed})
+//	beside := endpoint.New(endpoint.Config{Clock: clock, Counters: counters, Changed: changed, MayStart: valid})
 //	http.Serve(listener, beside.Handler())
 //	outcome := beside.Run(ctx, task)
 package endpoint
@@ -15,7 +15,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -48,6 +47,7 @@
 	reasonCrossed    zinniasill.Reason = "crossed-answer"
 	reasonTooLarge   zinniasill.Reason = "answer-too-large"
 	reasonIncomplete zinniasill.Reason = "answer-incomplete"
+	reasonNoLease    zinniasill.Reason = "may-not-start"
 )
 
 // Announcement is what an endpoint tells about itself.
@@ -66,6 +66,11 @@
 	// Changed is called when the announced state changed, one call at a time and in
 	// the order of the changes. It must not call the Endpoint.
 	Changed func(Announcement)
+	// MayStart is called on the goroutine that writes a run to its connection, right
+	// before the first byte. When it returns false nothing is written and the outcome
+	// is NotRun. A process that was stopped while it took a connection would otherwise
+	// start a task with a lease that ended meanwhile.
+	MayStart func() bool
 	// RunTimeout bounds one run, DefaultRunTimeout if 0. A connection that went
 	// silent would otherwise hold a slot for good.
 	RunTimeout time.Duration
@@ -95,7 +100,7 @@
 		cfg.RunTimeout = DefaultRunTimeout
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         dialGated,
 		MaxIdleConnsPerHost: maxSlots,
 		DisableCompression:  true,
 	}
@@ -206,8 +211,13 @@
 	request.GetBody = nil
 	request.Header.Set("Task-Id", id)
 	request.Header.Set("Profile", string(task.Profile))
-	response, err := e.client.Do(request)
-	if err != nil {
+	gate := &startGate{ctx: ctx, mayStart: e.cfg.MayStart}
+	response, err := e.client.Do(gate.guard(request))
+	switch {
+	case gate.closed():
+		e.cfg.Counters.Inc(CounterRuns, reasonNoLease)
+		return zinniasill.Outcome{Error: errNotStarted.Error(), Ran: zinniasill.NotRun}
+	case err != nil:
 		return e.failed(reasonNoAnswer, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/io/endpoint/endpoint_test.go
+++ b/io/endpoint/endpoint_test.go
@@ -305,7 +305,9 @@
 	defer close(release)
 	beside := endpoint.New(endpoint.Config{
 		Clock: &clock{}, Counters: &counters{count: map[zinniasill.Reason]int{}},
-		Changed: func(endpoint.Announcement) {}, RunTimeout: 50 * time.Millisecond,
+		Changed:    func(endpoint.Announcement) {},
+		MayStart:   func() bool { return true },
+		RunTimeout: 50 * time.Millisecond,
 	})
 	body := `{"url":"` + server.URL + `","slots":1,"kinds":["cards"],"state":"serving"}`
 	recorder := httptest.NewRecorder()
--- a/io/endpoint/fake_test.go
+++ b/io/endpoint/fake_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,6 +66,8 @@
 	clock    *clock
 	counters *counters
 	changes  chan endpoint.Announcement
+	// stopped makes the agent's lease invalid.
+	stopped atomic.Bool
 }
 
 func newFixture() *fixture {
@@ -75,7 +78,8 @@
 	}
 	f.Endpoint = endpoint.New(endpoint.Config{
 		Clock: f.clock, Counters: f.counters,
-		Changed: func(a endpoint.Announcement) { f.changes <- a },
+		Changed:  func(a endpoint.Announcement) { f.changes <- a },
+		MayStart: func() bool { return !f.stopped.Load() },
 	})
 	return f
 }
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -64,7 +64,9 @@
 	a.machine = agent.New(agent.Config{
 		Self: a.keeper.Node(), Domain: cfg.Report.Domain, Lease: a.keeper, Counters: cfg.Counters,
 	})
-	a.beside = endpoint.New(endpoint.Config{Clock: cfg.Clock, Counters: cfg.Counters, Changed: a.announced})
+	a.beside = endpoint.New(endpoint.Config{
+		Clock: cfg.Clock, Counters: cfg.Counters, Changed: a.announced, MayStart: a.mayStart,
+	})
 	a.loop = daemon.New(daemon.Config{
 		Machine: a.machine, Sender: cfg.Sender, Clock: cfg.Clock, After: a.startRuns,
 		Dropped: func() { cfg.Counters.Inc("mailbox_dropped", "") },
@@ -144,10 +146,7 @@
 }
 
 func (a *Agent) run(life context.Context, task zinniasill.Task) {
-	outcome := zinniasill.Outcome{Error: "the agent may not start tasks any more", Ran: zinniasill.NotRun}
-	if a.mayStart() {
-		outcome = a.beside.Run(life, task)
-	}
+	outcome := a.beside.Run(life, task)
 	_ = a.loop.Do(life, func(now time.Time) {
 		if life.Err() == nil {
 			a.machine.Finished(now, task, outcome)
@@ -156,7 +155,7 @@
 }
 
 // mayStart checks the lease and the failure domain once more, as the last step
-// before a task goes to the endpoint.
+// before a task goes to the endpoint. The goroutines of the runs call it.
 func (a *Agent) mayStart() bool {
 	valid := a.keeper.Valid(a.cfg.Clock.Now())
 	return valid && a.keeper.Catalog().DomainIn(a.cfg.Report.Domain)
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -246,14 +246,18 @@
 // without bound, and against losses that are not counted.
 func TestTransportDropsAndCounts(t *testing.T) {
 	book := &addresses{}
-	a := start(t, "a", book, func(cfg *Config) { cfg.UnreachableAfter = 50 * time.Millisecond })
+	// Its queue is never emptied, so that the count doesn't depend on how fast the
+	// test sends.
+	patient := start(t, "patient", book, func(cfg *Config) { cfg.UnreachableAfter = time.Hour })
 	for n := range queueSize + 100 {
-		a.Send(grant("nowhere", n))
+		patient.Send(grant("nowhere", n))
 	}
-	a.counts.waitFor("peer_dropped_total/unreachable")
-	if got := a.counts.get("peer_dropped_total/queue-full"); got != 100 {
+	if got := patient.counts.get("peer_dropped_total/queue-full"); got != 100 {
 		t.Errorf("%d envelopes dropped by the full queue, want 100", got)
 	}
+	a := start(t, "a", book, func(cfg *Config) { cfg.UnreachableAfter = 50 * time.Millisecond })
+	a.Send(grant("nowhere", 1))
+	a.counts.waitFor("peer_dropped_total/unreachable")
 	a.Send(message.Envelope{To: zinniasill.Node{ID: "b"}, Body: "text"})
 	a.counts.waitFor("peer_dropped_total/unregistered")
 	b := start(t, "b", book, func(cfg *Config) {
