Return the last refusal at once and measure overload with real processes

Cause: refusals at overload had been measured on the model only. The client waited for the advised time after its last attempt, too, and returned only then.

Change: the client returns after its last attempt without a pause, for submissions and for the question for the epoch. `load overload` offers one-task jobs at multiples of the capacity of 24 slots to real processes and reports goodput, response and the time of a refusal.

--- a/client/client.go
+++ b/client/client.go
@@ -143,6 +143,9 @@
 		}
 		last = err
 		c.moveOn()
+		if attempt+1 == c.cfg.Attempts {
+			break
+		}
 		if err := c.pause(ctx, attempt, 0); err != nil {
 			return 0, err
 		}
@@ -194,10 +197,12 @@
 			sent = sent || reply.refusal.Ran != zinniasill.NotRun
 			c.moveOn()
 		}
-		if err := c.pause(ctx, attempt, retryAfter(last)); err != nil {
+		if attempt++; attempt == c.cfg.Attempts {
+			break
+		}
+		if err := c.pause(ctx, attempt-1, retryAfter(last)); err != nil {
 			return Answer{}, unknown(job.Key, err)
 		}
-		attempt++
 	}
 	var refusal *RefusalError
 	if errors.As(last, &refusal) {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -224,3 +224,27 @@
 	}
 	// Output: proof-1734: out
 }
+
+// TestLastRefusalIsNotAwaited guards against a client that waits the advised time
+// after its last attempt, which only delays the caller.
+func TestLastRefusalIsNotAwaited(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Job-Epoch", "5")
+		if r.URL.Path == "/v1/epoch" {
+			_, _ = fmt.Fprint(w, `{"epoch":4}`)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprint(w, `{"code":"overload","ran":"not-run","retry":"same-key","retry-after-ms":3600000}`)
+	}))
+	defer server.Close()
+	c := client.New(client.Config{Entries: []string{server.URL}, Team: "atlas", Attempts: 1})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := c.Submit(ctx, client.Job{Key: "pull-1", Profile: "proof", Tasks: [][]byte{[]byte("x")}})
+	var refusal *client.RefusalError
+	if !errors.As(err, &refusal) || refusal.Code != zinniasill.ReasonOverload {
+		t.Errorf("error %v", err)
+	}
+}
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -2,7 +2,7 @@
 // loopback, drives them for a bounded time and writes the raw figures as CSV
 // files.
 //
-//	load --seed=20261204 --out=docs/measurements starts rates nodes rolling recovery sizes fits
+//	load --seed=20261204 --out=docs/measurements starts rates nodes rolling recovery overload sizes fits
 package main
 
 import (
@@ -41,6 +41,7 @@
 	"nodes":    measureNodes,
 	"rolling":  measureRolling,
 	"recovery": measureRecovery,
+	"overload": measureOverload,
 	"sizes":    measureSizes,
 	"fits":     measureFits,
 }
@@ -57,8 +58,8 @@
 	app.Flag("step", "Length of one measured step.").Default("5s").DurationVar(&o.step)
 	app.Flag("limit", "Time after which the measurement stops.").Default("3m").DurationVar(&o.limit)
 	app.Flag("size", "Numbers of stand-in nodes, ascending.").Default("6", "24", "96", "384", "1400").IntsVar(&o.sizes)
-	app.Arg("measurements", "starts, rates, nodes, rolling, recovery, sizes or fits.").Required().
-		EnumsVar(&o.steps, "starts", "rates", "nodes", "rolling", "recovery", "sizes", "fits")
+	app.Arg("measurements", "starts, rates, nodes, rolling, recovery, overload, sizes or fits.").Required().
+		EnumsVar(&o.steps, "starts", "rates", "nodes", "rolling", "recovery", "overload", "sizes", "fits")
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
