Give the client package status and cancel

Cause: `job status` and `job cancel` spoke HTTP on their own and ended with exit status 0 for a job that had failed or was refused, and an embedding program had no way to ask for a job or to cancel it.

Change: client.Status and client.Cancel ask the entries in turn until one knows the job; the commands use them and end with status 1 and the refusal on stderr. The code not-found stands with the other reasons. Ruled out: asking all entries at once, since an entry already asks the others.

Conclusion: a caller sees the same typed refusal for all three requests.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +32,9 @@
 		_, _ = fmt.Fprint(w, `{"epoch":4}`)
 		return
 	}
+	if key, ok := strings.CutPrefix(r.URL.Path, "/v1/jobs/"); ok {
+		r.Header.Set("Idempotency-Key", key)
+	}
 	f.mu.Lock()
 	f.keys = append(f.keys, r.Header.Get("Idempotency-Key"))
 	f.epochs = append(f.epochs, r.Header.Get("Job-Epoch"))
--- a/client/request.go
+++ b/client/request.go
@@ -36,6 +36,8 @@
 type answerBody struct {
 	Key          string            `json:"key"`
 	State        string            `json:"state"`
+	Tasks        int               `json:"tasks"`
+	Finished     int               `json:"finished"`
 	Outputs      [][]byte          `json:"outputs"`
 	Code         zinniasill.Reason `json:"code"`
 	Ran          zinniasill.Ran    `json:"ran"`
--- a/cmd/zinniasill/job.go
+++ b/cmd/zinniasill/job.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
-	"net/url"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rotisserie/eris"
 
 	"zinniasill"
 	"zinniasill/client"
@@ -34,25 +30,46 @@
 	settings.RegisterTLS(clause, &f.files)
 }
 
-// transport returns the transport for requests to entries.
-func (f *jobFlags) transport() (http.RoundTripper, error) {
-	if !f.files.Given() {
-		return nil, nil
+// client returns a client for the entries.
+func (f *jobFlags) client() (*client.Client, error) {
+	cfg := client.Config{Entries: strings.Split(f.entries, ","), Team: zinniasill.Team(f.team)}
+	if f.files.Given() {
+		transport, err := client.TLS(f.files)
+		if err != nil {
+			return nil, err
+		}
+		cfg.Transport = transport
 	}
-	return client.TLS(f.files)
+	return client.New(cfg), nil
 }
 
 func addJob(app *kingpin.Application, commands map[string]command) {
 	group := app.Command("job", "Jobs.")
 	addSubmit(group.Command("submit", "Submit a job and print its outputs, one a line."), commands)
-	verbs := map[string]string{"status": http.MethodGet, "cancel": http.MethodDelete}
-	help := map[string]string{"status": "Show the state of a job.", "cancel": "Cancel a job."}
-	for verb, method := range verbs {
-		clause := group.Command(verb, help[verb])
-		flags := &jobFlags{}
-		flags.register(clause)
-		key := clause.Arg("key", "Key of the job.").Required().String()
-		commands[clause.FullCommand()] = func(ctx context.Context) error { return askJob(ctx, *flags, method, *key) }
+	addInquiry(group.Command("status", "Show the state of a job."), commands, func(ctx context.Context, c *client.Client, key string) error {
+		status, err := c.Status(ctx, key)
+		if err != nil {
+			return err
+		}
+		return json.NewEncoder(os.Stdout).Encode(status)
+	})
+	addInquiry(group.Command("cancel", "Cancel a job."), commands, func(ctx context.Context, c *client.Client, key string) error {
+		return c.Cancel(ctx, key)
+	})
+}
+
+// addInquiry adds a command that asks the entries about a job.
+func addInquiry(clause *kingpin.CmdClause, commands map[string]command, inquire func(context.Context, *client.Client, string) error) {
+	flags := &jobFlags{}
+	flags.register(clause)
+	key := clause.Arg("key", "Key of the job.").Required().String()
+	commands[clause.FullCommand()] = func(ctx context.Context) error {
+		c, err := flags.client()
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		return inquire(ctx, c, *key)
 	}
 }
 
@@ -70,13 +87,10 @@
 		if *key == "" {
 			*key = rand.Text()
 		}
-		transport, err := flags.transport()
+		c, err := flags.client()
 		if err != nil {
 			return err
 		}
-		c := client.New(client.Config{
-			Entries: strings.Split(flags.entries, ","), Team: zinniasill.Team(flags.team), Transport: transport,
-		})
 		defer c.Close()
 		job := client.Job{Key: *key, Profile: zinniasill.ProfileName(*profile), Epoch: zinniasill.Epoch(*epoch)}
 		for _, payload := range *tasks {
@@ -92,50 +106,3 @@
 		return nil
 	}
 }
-
-// askTimeout bounds one question to one entry.
-const askTimeout = 2 * time.Second
-
-// askJob asks the entries in turn until one knows the job.
-func askJob(ctx context.Context, flags jobFlags, method, key string) error {
-	transport, err := flags.transport()
-	if err != nil {
-		return err
-	}
-	asker := &http.Client{Transport: transport}
-	var last error
-	for _, entry := range strings.Split(flags.entries, ",") {
-		target := entry + "/v1/jobs/" + url.PathEscape(key) + "?team=" + url.QueryEscape(flags.team)
-		status, body, err := ask(ctx, asker, method, target)
-		if err != nil {
-			last = err
-			continue
-		}
-		if status == http.StatusNotFound {
-			last = eris.Errorf("%s has no record of job %s", entry, key)
-			continue
-		}
-		if status == http.StatusForbidden {
-			return eris.Errorf("%s refused: %s", entry, body)
-		}
-		_, err = os.Stdout.Write(append(body, '\n'))
-		return err
-	}
-	return last
-}
-
-func ask(ctx context.Context, asker *http.Client, method, target string) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, target, nil)
-	if err != nil {
-		return 0, nil, eris.Wrapf(err, "ask %s", target)
-	}
-	response, err := asker.Do(request)
-	if err != nil {
-		return 0, nil, eris.Wrapf(err, "ask %s", target)
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, body, eris.Wrapf(err, "read the answer of %s", target)
-}
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -18,9 +18,6 @@
 	"zinniasill/core/message"
 )
 
-// codeNotFound is the code for a job that an entry has no record of.
-const codeNotFound zinniasill.Reason = "not-found"
-
 // State is the state of a job.
 type State string
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -167,7 +167,7 @@
 // may be out of reach, so that nothing can be said about what ran.
 func notFound() message.Answer {
 	return message.Answer{
-		Code: codeNotFound, Ran: zinniasill.RanUnknown, Retry: zinniasill.RetrySameKey,
+		Code: zinniasill.ReasonNotFound, Ran: zinniasill.RanUnknown, Retry: zinniasill.RetrySameKey,
 		Message: "no entry that answers has a record of the job; submit it again with the same key to get its answer",
 	}
 }
--- a/reason.go
+++ b/reason.go
@@ -24,6 +24,7 @@
 	ReasonOutcomeUnknown Reason = "outcome-unknown"
 	ReasonSuperseded     Reason = "superseded"
 	ReasonBusy           Reason = "busy"
+	ReasonNotFound       Reason = "not-found"
 	ReasonAnswerEvicted  Reason = "answer-evicted"
 	ReasonDomainOut      Reason = "domain-out"
 	ReasonLeaving        Reason = "leaving"
