Move the cutting proxy to localcluster

Cause: a measurement of regions that lose each other needs the proxy that cuts links silently, which stood in the test files of the process tests.

It can also delay what one process sends to another. The process tests use it under the new names of its methods; their checks are unchanged. A copy of the proxy in the load program was ruled out.

Conclusion: the process tests check what they checked before.

--- /dev/null
+++ b/internal/localcluster/network.go
@@ -0,0 +1,177 @@
+package localcluster
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Network is a set of TCP proxies, one before the listener of each process, that
+// can delay and silently drop what one process sends to another. A connection
+// that lost bytes stays open and silent. The zero value works:
+//
+//	network := &localcluster.Network{}
+//	defer network.Close()
+//	cluster, err := localcluster.Start(ctx, localcluster.Config{Through: network.Through, ...})
+//	network.Cut("agent-1", "control-1", "control-2")
+//	network.Heal()
+type Network struct {
+	// Delay, if set, returns how long bytes from one process to another take. The
+	// handshake of TCP itself isn't delayed.
+	Delay func(from, to string) time.Duration
+
+	mu      sync.Mutex
+	names   []string
+	blocked map[direction]bool
+	closers []func() error
+	closed  bool
+	failed  error
+}
+
+// direction is the way from one process to another.
+type direction struct {
+	from, to string
+}
+
+// Through stands a proxy before a process and returns the proxy's address. If it
+// cannot listen, it returns the given address, and Err the error.
+func (n *Network) Through(name, listen string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	n.mu.Lock()
+	if err != nil {
+		n.failed = err
+	}
+	n.names = append(n.names, name)
+	n.mu.Unlock()
+	if err != nil {
+		return listen // the cluster works, but its links can't be cut
+	}
+	n.keep(listener.Close)
+	go n.accept(name, listen, listener)
+	return listener.Addr().String()
+}
+
+// Err returns the error of a proxy that could not listen.
+func (n *Network) Err() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failed
+}
+
+func (n *Network) accept(name, target string, listener net.Listener) {
+	for {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		n.keep(near.Close)
+		n.keep(far.Close)
+		link := &proxied{network: n, listener: name}
+		go link.copy(far, near, true)
+		go link.copy(near, far, false)
+	}
+}
+
+// keep has a socket closed by Close.
+func (n *Network) keep(closer func() error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = closer()
+		return
+	}
+	n.closers = append(n.closers, closer)
+}
+
+// Close closes all proxies and their connections.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	for _, closer := range n.closers {
+		_ = closer()
+	}
+}
+
+// Block drops everything that one process sends to another.
+func (n *Network) Block(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.block(from, to)
+}
+
+func (n *Network) block(from, to string) {
+	if n.blocked == nil {
+		n.blocked = map[direction]bool{}
+	}
+	n.blocked[direction{from, to}] = true
+}
+
+// Cut drops everything between a process and others, all others if none is given.
+func (n *Network) Cut(name string, others ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(others) == 0 {
+		others = n.names
+	}
+	for _, other := range others {
+		n.block(name, other)
+		n.block(other, name)
+	}
+}
+
+// Deafen drops everything that other processes send to a process.
+func (n *Network) Deafen(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, other := range n.names {
+		n.block(other, name)
+	}
+}
+
+// Mute drops everything that a process sends to other processes.
+func (n *Network) Mute(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, other := range n.names {
+		n.block(name, other)
+	}
+}
+
+// Heal ends all cuts. Connections that lost bytes stay silent.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.blocked)
+}
+
+func (n *Network) isBlocked(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.blocked[direction{from, to}]
+}
+
+func (n *Network) delay(from, to string) time.Duration {
+	if n.Delay == nil {
+		return 0
+	}
+	return n.Delay(from, to)
+}
+
+// others returns the names of all processes but one.
+func (n *Network) others(name string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var others []string
+	for _, other := range n.names {
+		if other != name {
+			others = append(others, other)
+		}
+	}
+	return others
+}
--- a/internal/proctest/fixture_test.go
+++ b/internal/proctest/fixture_test.go
@@ -43,7 +43,7 @@
 	*testing.T
 	*localcluster.Cluster
 	ctx     context.Context //nolint:containedctx // The time limit of one test.
-	network *network
+	network *localcluster.Network
 	witness *witness
 	// away are control replicas that operators don't ask, since they would wait for
 	// each answer in vain.
@@ -59,10 +59,11 @@
 	t.Cleanup(func() { <-clusters })
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	f := &fixture{T: t, ctx: ctx, network: newNetwork(t), witness: newWitness()}
+	f := &fixture{T: t, ctx: ctx, network: &localcluster.Network{}, witness: newWitness()}
+	t.Cleanup(f.network.Close)
 	cluster, err := localcluster.Start(ctx, localcluster.Config{
 		Binary: binary, Folder: t.TempDir(), Controls: 3, Entries: 2, Agents: agents, Domains: 3,
-		Slots: 4, Through: f.network.through,
+		Slots: 4, Through: f.network.Through,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +77,7 @@
 
 // finish stops the cluster and compares what callers were told with the starts.
 func (f *fixture) finish() {
-	f.network.heal()
+	f.network.Heal()
 	for _, p := range f.All() {
 		p.Signal(syscall.SIGCONT)
 	}
--- a/internal/proctest/partition_test.go
+++ b/internal/proctest/partition_test.go
@@ -17,10 +17,10 @@
 func TestAgentCutOffFromControl(t *testing.T) {
 	t.Parallel()
 	tests := map[string]func(f *fixture){
-		"both ways": func(f *fixture) { f.network.cut("agent-1", controlNames...) },
+		"both ways": func(f *fixture) { f.network.Cut("agent-1", controlNames...) },
 		"replies lost": func(f *fixture) {
 			for _, name := range controlNames {
-				f.network.block(name, "agent-1")
+				f.network.Block(name, "agent-1")
 			}
 		},
 	}
@@ -34,7 +34,7 @@
 			f.awaitBound(out)
 			f.awaitDead(f.Agents[0])
 			l.awaitMore(16)
-			f.network.heal()
+			f.network.Heal()
 			f.await("the agent to return", func() bool {
 				_, listed := f.node("agent-1")
 				return listed
@@ -59,7 +59,7 @@
 	go func() { done <- f.submitAll(f.client(0), jobs) }()
 	f.await("tasks to start", func() bool { return len(f.startedAt(0)) > 0 })
 	for _, p := range append(f.Entries[:2:2], f.Agents...) {
-		f.network.cut(p.Name, controlNames...)
+		f.network.Cut(p.Name, controlNames...)
 	}
 	f.setDomain(f.Domain(0), catalog.DomainOut)
 	out := time.Now()
@@ -67,7 +67,7 @@
 	if late := f.lateStarts(out, time.Now(), 0); len(late) > 0 {
 		t.Errorf("%d late starts in the domain, the first %v", len(late), late[0])
 	}
-	f.network.heal()
+	f.network.Heal()
 	// The job may fail, because its agents were declared dead; the witness checks
 	// what the caller is told.
 	<-done
@@ -79,9 +79,9 @@
 func TestAgentCutOff(t *testing.T) {
 	t.Parallel()
 	tests := map[string]func(f *fixture){
-		"both ways": func(f *fixture) { f.network.cut("agent-1") },
-		"inward":    func(f *fixture) { f.network.deafen("agent-1") },
-		"outward":   func(f *fixture) { f.network.mute("agent-1") },
+		"both ways": func(f *fixture) { f.network.Cut("agent-1") },
+		"inward":    func(f *fixture) { f.network.Deafen("agent-1") },
+		"outward":   func(f *fixture) { f.network.Mute("agent-1") },
 	}
 	for name, cut := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -90,7 +90,7 @@
 			cut(f)
 			f.awaitDead(f.Agents[0])
 			l.awaitMore(40)
-			f.network.heal()
+			f.network.Heal()
 			f.must(f.AwaitReady(f.ctx, f.Agents[0]))
 			before := len(f.startedAt(0))
 			f.await("work at the returned agent", func() bool { return len(f.startedAt(0)) > before })
@@ -104,9 +104,9 @@
 func TestControlCutOff(t *testing.T) {
 	t.Parallel()
 	tests := map[string]func(f *fixture, name string){
-		"both ways": func(f *fixture, name string) { f.network.cut(name) },
-		"inward":    func(f *fixture, name string) { f.network.deafen(name) },
-		"outward":   func(f *fixture, name string) { f.network.mute(name) },
+		"both ways": func(f *fixture, name string) { f.network.Cut(name) },
+		"inward":    func(f *fixture, name string) { f.network.Deafen(name) },
+		"outward":   func(f *fixture, name string) { f.network.Mute(name) },
 	}
 	for name, cut := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -123,7 +123,7 @@
 			cutAt := time.Now()
 			f.await("a long cut", func() bool { return time.Since(cutAt) > 6*time.Second })
 			l.awaitMore(16)
-			f.network.heal()
+			f.network.Heal()
 			f.await("the replica to have the last change", func() bool {
 				team, err := f.operatorOf(leader).Team(f.ctx, "cut")
 				return err == nil && team.Quota == 1059
