Pass a silent control replica after 1.5 s

Cause: the operators' client asks the addresses in turn and gave each 6 s. With the first replica stopped or cut off, every call took 6 s longer, and a status of a cluster with two of five replicas silent 12 s.

Change: an attempt of the first round may take 1.5 s, one of the second 6 s. Changes carry a request id and membership changes can be applied twice, so an attempt that was given up does no harm. Ruled out: remembering the address that answered last, since the client is a plain value that callers copy.

Conclusion: an operator waits 1.5 s for each silent replica.

--- a/client/client.go
+++ b/client/client.go
@@ -204,11 +204,16 @@
 			return Answer{}, unknown(job.Key, err)
 		}
 	}
+	return Answer{}, exhausted(job.Key, last)
+}
+
+// exhausted returns the error of a submission whose last attempt failed with last.
+func exhausted(key string, last error) error {
 	var refusal *RefusalError
 	if errors.As(last, &refusal) {
-		return Answer{}, refusal
+		return refusal
 	}
-	return Answer{}, unknown(job.Key, last)
+	return unknown(key, last)
 }
 
 // again reports whether a refused submission is worth another attempt under the
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt. A replica without a majority answers
-	// after 5 s.
-	attemptTimeout = 6 * time.Second
-	// rounds is how often each address is tried.
-	rounds = 2
+	// firstTimeout bounds an attempt of the first round, so that a replica that is
+	// stopped or cut off delays a call only a little when another one answers.
+	firstTimeout = 1500 * time.Millisecond
+	// lastTimeout bounds an attempt of the second round. A replica without a majority
+	// answers after 5 s.
+	lastTimeout = 6 * time.Second
 	// maxAnswer bounds the size of an answer in bytes. A status with 1,400 nodes
 	// has less than 1 MiB.
 	maxAnswer = 8 << 20
@@ -160,11 +161,12 @@
 	}
 	scheme := cmp.Or(c.Scheme, "http")
 	var last error
-	for attempt := range rounds * len(c.Addresses) {
-		address := c.Addresses[attempt%len(c.Addresses)]
-		last = c.attempt(ctx, method, scheme+"://"+address+path, data, into)
-		if last == nil || ctx.Err() != nil || !again(last) {
-			return last
+	for _, timeout := range []time.Duration{firstTimeout, lastTimeout} {
+		for _, address := range c.Addresses {
+			last = c.attempt(ctx, timeout, method, scheme+"://"+address+path, data, into)
+			if last == nil || ctx.Err() != nil || !again(last) {
+				return last
+			}
 		}
 	}
 	return last
@@ -177,8 +179,10 @@
 	return !eris.As(err, &answered) || answered.retryable()
 }
 
-func (c Client) attempt(ctx context.Context, method, target string, body []byte, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func (c Client) attempt(
+	ctx context.Context, timeout time.Duration, method, target string, body []byte, into any,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -189,6 +190,25 @@
 	}
 }
 
+// TestClientPassesSilentReplica guards against a replica that is stopped or cut off and
+// holds every call of an operator for the whole time of an attempt.
+func TestClientPassesSilentReplica(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	_, address := serve(t, control.New())
+	client := operator.Client{Addresses: []string{silent.Addr().String(), address}}
+	// A replica without a majority may take 5 s for its answer; no attempt of the
+	// first round waits as long.
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if _, err := client.Status(ctx); err != nil {
+		t.Errorf("status: %v", err)
+	}
+}
+
 // TestParseProfileReportsAll guards against a profile file whose faults are found
 // one run at a time.
 func TestParseProfileReportsAll(t *testing.T) {
