Let messages wait for others to the same process

Acknowledgements, the reply that a task has started, and each result travelled alone. An entry repeated each grant whose task ran longer than 200 ms, because only the result answered it.

Change: messages of claims and tasks that leave for one process in one step share a Bundle of at most about 16 KB. Entries keep acknowledgements for up to 300 ms and withdrawals of queued tasks for up to 5 ms, until another message leaves for the agent. Agents keep the reply that tasks have started for up to 150 ms, and drop it when the result leaves first; the same reply answers grants. Agents also keep results for up to 150 ms while other tasks of the job run or wait there, since the job can't be answered before. Replies that queue or refuse a task, failed tasks, and everything of a process that stops leave at once. Agents repeat results after 600 ms instead of 200 ms, so that a kept acknowledgement causes no repetition. The naive agent of the job tests repeats results after 600 ms too, where it repeated them every step.

The tests take bundles apart, so that the random worlds still lose, repeat and reorder each part alone. In the model a bundle counts as one message; it counts as wasted when all its parts are.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -31,8 +31,12 @@
 	// DefaultOutputBudget is the highest size of the kept outputs in bytes.
 	DefaultOutputBudget = 16 << 20
 
-	// resendWait is the time after which a fetch or result is sent again.
+	// resendWait is the time after which a fetch or a part of a handover is sent
+	// again.
 	resendWait = 200 * time.Millisecond
+	// resultWait is the time after which a result is sent again. It is longer than
+	// the time for which owners may keep an acknowledgement back.
+	resultWait = 600 * time.Millisecond
 	// fetchLimit is the time after which a fetch without a grant frees its slot.
 	fetchLimit = time.Second
 	// deadOwnerWait spaces the reports to an owner that is not in the catalog.
@@ -109,6 +113,9 @@
 	now     time.Time
 	replies []reply
 	outbox  []message.Envelope
+	// heldReplies and heldResults wait for another message to their receivers.
+	heldReplies []reply
+	heldResults []*job
 }
 
 // New returns an agent without an endpoint.
@@ -182,6 +189,12 @@
 		a.receiveHosted(now, env)
 		return
 	}
+	if _, ok := env.Body.(message.Bundle); ok {
+		for _, part := range message.Split([]message.Envelope{env}) {
+			a.Receive(now, part)
+		}
+		return
+	}
 	if a.receiveHandover(now, env) || a.frozen {
 		return
 	}
@@ -252,18 +265,6 @@
 	return runs
 }
 
-// Outbox implements daemon.Machine.
-func (a *Agent) Outbox() []message.Envelope {
-	a.flushReplies()
-	a.flushResults()
-	out := a.outbox
-	a.outbox = nil
-	for _, h := range a.hosted {
-		out = append(out, h.Outbox()...)
-	}
-	return out
-}
-
 // refusal returns why no task may start now, empty if one may.
 func (a *Agent) refusal(now time.Time) zinniasill.Reason {
 	switch {
--- a/core/agent/offer.go
+++ b/core/agent/offer.go
@@ -53,22 +53,23 @@
 	if j == nil {
 		return
 	}
+	kind := replyOffer
 	refs := make([]message.TaskRef, len(o.Tasks))
 	for i, item := range o.Tasks {
 		refs[i] = item.Ref
-		if o.Term == j.term {
-			a.offerTask(now, j, &o, item)
+		if o.Term != j.term || !a.offerTask(now, j, &o, item) {
+			kind = replyAgain
 		}
 	}
-	a.reply(from, replyOffer, j, o.Term, refs)
+	a.reply(from, kind, j, o.Term, refs)
 }
 
 // offerTask takes one attempt of a task, unless the task has started, or the
-// attempt or a later one is known already.
-func (a *Agent) offerTask(now time.Time, j *job, o *message.Offer, item message.TaskOffer) {
+// attempt or a later one is known already. It reports whether the attempt is new.
+func (a *Agent) offerTask(now time.Time, j *job, o *message.Offer, item message.TaskOffer) bool {
 	t := a.record(j, o.Term, item.Ref)
 	if t == nil {
-		return
+		return false
 	}
 	t.profile = o.Profile
 	t.payload = item.Payload
@@ -90,6 +91,7 @@
 		t.queuedAt = now
 		a.queue.push(t)
 	}
+	return true
 }
 
 // record returns the task in state offered for a new attempt, or nil when the
--- a/core/agent/record_test.go
+++ b/core/agent/record_test.go
@@ -150,6 +150,7 @@
 	}
 	f.agent.Receive(f.now, message.Envelope{From: owner, To: next, Body: offer("new", 1, ref(0, 1))})
 	f.drain()
+	f.tick(150 * time.Millisecond)
 	if len(f.runs) != 2 || f.out[0].From != next {
 		t.Errorf("the new incarnation sent %+v, runs are %+v", f.out, f.runs)
 	}
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -12,6 +12,10 @@
 
 const (
 	replyOffer replyKind = iota
+	// replyGrant tells that granted tasks have started.
+	replyGrant
+	// replyAgain answers a repeated offer or grant.
+	replyAgain
 	replyWithdraw
 	replyFence
 )
@@ -23,35 +27,14 @@
 	job  *job
 	term zinniasill.Term
 	refs []message.TaskRef
+	// due is when a reply that is kept back leaves at the latest.
+	due time.Time
 }
 
 func (a *Agent) reply(to zinniasill.Node, kind replyKind, j *job, term zinniasill.Term, refs []message.TaskRef) {
 	a.replies = append(a.replies, reply{to: to, kind: kind, job: j, term: term, refs: refs})
 }
 
-// flushReplies writes the answers. They wait while Runs has not yet decided on
-// tasks, because an answer could then be wrong in either direction.
-func (a *Agent) flushReplies() {
-	if len(a.pending) > 0 {
-		return
-	}
-	for _, r := range a.replies {
-		key := r.job.key
-		switch r.kind {
-		case replyOffer:
-			a.send(r.to, message.OfferReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
-		case replyWithdraw:
-			a.send(r.to, message.WithdrawReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
-		case replyFence:
-			a.send(r.to, message.FenceReply{
-				Key: key, Term: r.term, Fenced: r.job.term, Tasks: startedTasks(r.job), Load: a.load(),
-			})
-		}
-	}
-	clear(a.replies)
-	a.replies = a.replies[:0]
-}
-
 func (r reply) statuses() []message.TaskStatus {
 	statuses := make([]message.TaskStatus, len(r.refs))
 	for i, ref := range r.refs {
@@ -87,7 +70,8 @@
 	j := t.job
 	j.unacked = append(j.unacked, t)
 	j.fresh = append(j.fresh, t)
-	if len(j.fresh) == 1 {
+	if !j.changed {
+		j.changed = true
 		a.fresh = append(a.fresh, j)
 	}
 	if !j.reporting {
@@ -123,18 +107,6 @@
 	}
 }
 
-// flushResults sends each new result once; resendResults repeats it.
-func (a *Agent) flushResults() {
-	for _, j := range a.fresh {
-		a.sendResult(j, j.fresh)
-		j.reportAt = a.now.Add(resendWait)
-		clear(j.fresh)
-		j.fresh = j.fresh[:0]
-	}
-	clear(a.fresh)
-	a.fresh = a.fresh[:0]
-}
-
 func (a *Agent) sendResult(j *job, tasks []*task) {
 	statuses := make([]message.TaskStatus, 0, len(tasks))
 	for _, t := range tasks {
@@ -165,7 +137,7 @@
 // only a takeover will acknowledge them.
 func (a *Agent) resendAfter(j *job) time.Duration {
 	if a.ownerAlive(j) {
-		return resendWait
+		return resultWait
 	}
 	return deadOwnerWait
 }
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -62,8 +62,8 @@
 	return a.cfg.Lease.Catalog().Alive(j.owner)
 }
 
-// grant starts fetched tasks. Only a grant that starts nothing is answered: the
-// result answers the others.
+// grant starts fetched tasks. Those that start are reported with a reply that can
+// wait, so that the owner does not repeat the grants of long tasks.
 func (a *Agent) grant(now time.Time, from zinniasill.Node, g message.Grant) {
 	j := a.jobs[g.Key]
 	if j == nil {
@@ -74,14 +74,19 @@
 		a.count(CounterForeign, "")
 		return
 	}
-	var others []message.TaskRef
+	var started, others []message.TaskRef
 	for _, ref := range g.Tasks {
-		if !a.grantTask(now, j, g.Term, ref) {
+		if a.grantTask(now, j, g.Term, ref) {
+			started = append(started, ref)
+		} else {
 			others = append(others, ref)
 		}
 	}
+	if len(started) > 0 {
+		a.reply(from, replyGrant, j, g.Term, started)
+	}
 	if len(others) > 0 {
-		a.reply(from, replyOffer, j, g.Term, others)
+		a.reply(from, replyAgain, j, g.Term, others)
 	}
 }
 
--- a/core/agent/task.go
+++ b/core/agent/task.go
@@ -54,8 +54,12 @@
 	// unacked are the tasks whose outcome or return the owner has not confirmed.
 	unacked   []*task
 	fresh     []*task // unacked and never sent
+	changed   bool    // fresh has tasks that Outbox has not seen
 	reporting bool
 	reportAt  time.Time
+	// held is set while the fresh results are kept back, until heldUntil at most.
+	held      bool
+	heldUntil time.Time
 }
 
 // task is the record of one task. State, term and attempt are of the latest
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -112,6 +112,7 @@
 	timers    timers
 	kept      kept
 	outbox    []message.Envelope
+	deferred  deferred
 	replies   []Reply
 	inquiries []*inquiry
 	found     []Found
@@ -142,6 +143,7 @@
 	c.jobs = map[zinniasill.Key]*record{}
 	c.waiting = map[RequestID]*record{}
 	c.timers = nil
+	c.deferred = deferred{}
 	c.kept = kept{bytesLimit: c.cfg.Limits.AnswerBytes, recordsLimit: c.cfg.Limits.Records}
 	c.revision = 0
 }
@@ -163,13 +165,6 @@
 	c.reset()
 }
 
-// Outbox returns and clears the messages to send.
-func (c *Coordinator) Outbox() []message.Envelope {
-	out := c.outbox
-	c.outbox = nil
-	return claim.Batch(out)
-}
-
 // Replies returns and clears the answers to waiting callers.
 func (c *Coordinator) Replies() []Reply {
 	out := c.replies
@@ -178,8 +173,9 @@
 }
 
 // Drain makes the coordinator refuse new jobs and finish the ones in flight.
-func (c *Coordinator) Drain(_ time.Time) {
+func (c *Coordinator) Drain(now time.Time) {
 	c.draining = true
+	c.sendDue(now.Add(ackWait))
 }
 
 // Idle reports whether no caller waits and no owned job is in flight.
@@ -200,6 +196,12 @@
 	if env.To.ID != c.cfg.Self.ID || env.To.Incarnation != 0 && env.To != c.cfg.Self {
 		return
 	}
+	if _, ok := env.Body.(message.Bundle); ok {
+		for _, part := range message.Split([]message.Envelope{env}) {
+			c.Receive(now, part)
+		}
+		return
+	}
 	c.refresh(now)
 	switch body := env.Body.(type) {
 	case message.ClaimReply:
@@ -239,6 +241,7 @@
 func (c *Coordinator) Tick(now time.Time) {
 	c.refresh(now)
 	c.endInquiries(now)
+	c.sendDue(now)
 	for {
 		r := c.timers.pop(now)
 		if r == nil {
--- a/core/job/fake_test.go
+++ b/core/job/fake_test.go
@@ -24,6 +24,8 @@
 	output  string
 	failed  bool
 	unacked bool
+	// again is when an unacknowledged result is sent again.
+	again time.Time
 }
 
 // fakeAgent is a naive agent. It keeps records by attempt only, so that two
@@ -42,6 +44,7 @@
 	real    *realAgent
 	started func(key zinniasill.Key, index zinniasill.TaskIndex)
 	send    func(from, to zinniasill.Node, body any)
+	now     func() time.Time
 }
 
 func newFakeAgent(node zinniasill.Node, slots int) *fakeAgent {
@@ -246,12 +249,16 @@
 	a.resend()
 }
 
+// resultRepeat is the time after which agents repeat a result.
+const resultRepeat = 600 * time.Millisecond
+
 // resend sends unacknowledged results and fetches for free slots.
 func (a *fakeAgent) resend() {
 	free := a.slots - a.busy()
 	for _, at := range a.order {
 		s := a.attempts[at]
-		if s.unacked {
+		if s.unacked && !a.now().Before(s.again) {
+			s.again = a.now().Add(resultRepeat)
 			a.send(a.node, s.owner, message.Result{
 				Key: at.key, Term: at.term, Tasks: []message.TaskStatus{a.status(at)}, Load: a.load(),
 			})
--- a/core/job/real_test.go
+++ b/core/job/real_test.go
@@ -36,7 +36,7 @@
 		r.world.started(run.Key, run.Index)
 		r.running = append(r.running, run)
 	}
-	r.world.flight = append(r.world.flight, r.Outbox()...)
+	r.world.flight = append(r.world.flight, message.Split(r.Outbox())...)
 }
 
 func (r *realAgent) receive(from, to zinniasill.Node, body any) {
--- a/core/job/rolling_test.go
+++ b/core/job/rolling_test.go
@@ -53,7 +53,7 @@
 	old.real.flush()
 	w.settleUntil(t, "the handover", func() bool { return old.real.HandoverState() == agent.HandoverTaken })
 	next := newFakeAgent(zinniasill.Node{ID: old.node.ID, Incarnation: old.node.Incarnation + 1}, old.slots)
-	next.started, next.send = w.started, w.post
+	next.started, next.send, next.now = w.started, w.post, old.now
 	entry := w.versions[0].Nodes[old.node.ID]
 	entry.Node = next.node
 	w.change(func(cat *catalog.Catalog) {
--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -30,13 +30,15 @@
 }
 
 // withdraw closes the waiting and queued tasks, and asks the agents to close the
-// offered ones. A queued task can't start any more, since it gets no grant.
+// offered ones. A queued task can't start any more, since it gets no grant; its
+// withdrawal only frees the queue and can wait.
 func (c *Coordinator) withdraw(now time.Time, r *record) {
 	type place struct {
 		node zinniasill.Node
 		term zinniasill.Term
 	}
 	var order []place
+	urgent := map[place]bool{}
 	refs := map[place][]message.TaskRef{}
 	for i := range r.tasks {
 		t := &r.tasks[i]
@@ -47,13 +49,19 @@
 			}
 			refs[at] = append(refs[at], message.TaskRef{Index: zinniasill.TaskIndex(i), Attempt: t.attempt})
 			t.next = now.Add(resendAfter)
+			urgent[at] = urgent[at] || t.state == taskOffered
 		}
 		if t.state == taskWaiting || t.state == taskQueued {
 			r.setTask(t, taskClose)
 		}
 	}
 	for _, at := range order {
-		c.send(at.node, message.Withdraw{Key: r.key, Term: at.term, Epoch: r.epoch, Tasks: refs[at]})
+		withdraw := message.Withdraw{Key: r.key, Term: at.term, Epoch: r.epoch, Tasks: refs[at]}
+		if urgent[at] {
+			c.send(at.node, withdraw)
+		} else {
+			c.sendLater(now, at.node, withdraw, withdrawWait)
+		}
 	}
 }
 
--- a/core/job/status.go
+++ b/core/job/status.go
@@ -155,7 +155,7 @@
 	for i, status := range body.Tasks {
 		refs[i] = status.Ref
 	}
-	c.send(from, message.ResultAck{Key: body.Key, Term: body.Term, Tasks: refs})
+	c.sendLater(now, from, message.ResultAck{Key: body.Key, Term: body.Term, Tasks: refs}, ackWait)
 	c.statuses(now, from, body.Key, body.Term, body.Tasks)
 }
 
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -97,6 +97,7 @@
 		agent := newFakeAgent(entry.Node, slots)
 		agent.started = w.started
 		agent.send = w.post
+		agent.now = func() time.Time { return w.now }
 		w.agents = append(w.agents, agent)
 	}
 	w.versions = []*catalog.Catalog{cat}
@@ -212,7 +213,7 @@
 
 // collect takes the outputs of an entry.
 func (w *world) collect(entry *worldEntry) {
-	w.flight = append(w.flight, entry.Outbox()...)
+	w.flight = append(w.flight, message.Split(entry.Outbox())...)
 	for _, reply := range entry.Replies() {
 		at := slices.IndexFunc(w.open, func(r request) bool { return r.id == reply.Request })
 		if at < 0 {
--- /dev/null
+++ b/core/message/bundle.go
@@ -0,0 +1,111 @@
+package message
+
+import "zinniasill"
+
+const (
+	// bundleBytes bounds the estimated size of a bundle. Larger messages travel
+	// alone, so that a bundle with claim messages never delays other ones of them.
+	bundleBytes = 16 << 10
+	// partBytes estimates the size of a message or task status without its payload
+	// and output.
+	partBytes = 128
+)
+
+// Bundle carries several messages to one process, which handles them in their
+// order.
+type Bundle struct {
+	Bodies []any `cbor:"1,keyasint"`
+}
+
+// Join joins the small messages to each process into bundles, in the place of the
+// first of them. Messages of other kinds than those of claims and tasks, and large
+// ones, stay as they are. All messages must have the same sender.
+func Join(out []Envelope) []Envelope {
+	if len(out) < 2 {
+		return out
+	}
+	type open struct{ at, bytes int }
+	bundles := make(map[zinniasill.Node]open, len(out))
+	joined := out[:0]
+	for _, env := range out {
+		bytes, ok := estimate(env.Body)
+		last, found := bundles[env.To]
+		if !ok || bytes > bundleBytes {
+			joined = append(joined, env)
+			continue
+		}
+		if !found || last.bytes+bytes > bundleBytes {
+			bundles[env.To] = open{at: len(joined), bytes: bytes}
+			joined = append(joined, env)
+			continue
+		}
+		bundle, ok := joined[last.at].Body.(Bundle)
+		if !ok {
+			bundle.Bodies = append(bundle.Bodies, joined[last.at].Body)
+		}
+		bundle.Bodies = append(bundle.Bodies, env.Body)
+		joined[last.at].Body = bundle
+		bundles[env.To] = open{at: last.at, bytes: last.bytes + bytes}
+	}
+	clear(out[len(joined):])
+	return joined
+}
+
+// Split returns the messages that Join joined.
+func Split(out []Envelope) []Envelope {
+	parts := make([]Envelope, 0, len(out))
+	for _, env := range out {
+		bundle, ok := env.Body.(Bundle)
+		if !ok {
+			parts = append(parts, env)
+			continue
+		}
+		for _, body := range bundle.Bodies {
+			env.Body = body
+			parts = append(parts, env)
+		}
+	}
+	return parts
+}
+
+// estimate returns about how many bytes a message takes, and whether it can be
+// part of a bundle.
+func estimate(body any) (int, bool) {
+	switch m := body.(type) {
+	case ClaimFast, ClaimPrepare, ClaimAccept, ClaimRead, ClaimReply:
+		return partBytes, true
+	case ClaimBatch:
+		return len(m.Requests) * partBytes, true
+	case ClaimReplies:
+		return len(m.Replies) * partBytes, true
+	case Fetch, Grant, Withdraw, Fence, ResultAck:
+		return partBytes, true
+	case Offer:
+		bytes := partBytes
+		for _, task := range m.Tasks {
+			bytes += len(task.Payload) + partBytes
+		}
+		return bytes, true
+	case OfferReply:
+		return statusBytes(m.Tasks), true
+	case WithdrawReply:
+		return statusBytes(m.Tasks), true
+	case FenceReply:
+		return statusBytes(m.Tasks), true
+	case Result:
+		return statusBytes(m.Tasks), true
+	default:
+		return 0, false
+	}
+}
+
+func statusBytes(statuses []TaskStatus) int {
+	bytes := partBytes
+	for _, status := range statuses {
+		bytes += partBytes
+		if status.Outcome != nil {
+			bytes += len(status.Outcome.Output) + len(status.Outcome.Error)
+		}
+	}
+	return bytes
+}
--- a/internal/servemodel/result.go
+++ b/internal/servemodel/result.go
@@ -75,10 +75,35 @@
 // countMessage counts a message and whether it was wasted.
 func (r *Result) countMessage(body any) {
 	r.Messages++
+	if isClaim(body) {
+		r.Claims++
+	}
+	if r.wasted(body) {
+		r.Wasted++
+	}
+}
+
+func isClaim(body any) bool {
+	switch m := body.(type) {
+	case message.ClaimFast, message.ClaimPrepare, message.ClaimAccept, message.ClaimRead, message.ClaimReply:
+		return true
+	case message.Bundle:
+		return slices.ContainsFunc(m.Bodies, isClaim)
+	default:
+		return false
+	}
+}
+
+// wasted reports whether a message was wasted. A bundle is when all its parts are.
+func (r *Result) wasted(body any) bool {
 	wasted := false
 	switch m := body.(type) {
-	case message.ClaimFast, message.ClaimPrepare, message.ClaimAccept, message.ClaimReply:
-		r.Claims++
+	case message.Bundle:
+		wasted = true
+		for _, part := range m.Bodies {
+			// Each part must be looked at, since offers are recorded.
+			wasted = r.wasted(part) && wasted
+		}
 	case message.Offer:
 		wasted = true
 		for _, task := range m.Tasks {
@@ -93,9 +118,7 @@
 	case message.Result:
 		wasted = allClosed(m.Tasks)
 	}
-	if wasted {
-		r.Wasted++
-	}
+	return wasted
 }
 
 func allClosed(tasks []message.TaskStatus) bool {
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -61,6 +61,7 @@
 		{Number: 31, Sample: message.ClaimReplies{}},
 		{Number: 32, Sample: message.Cancel{}},
 		{Number: 33, Sample: message.CancelReply{}},
+		{Number: 34, Sample: message.Bundle{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
 		{Number: 20, Sample: message.HandoverPart{}, Class: Bulk},
 		{Number: 21, Sample: message.HandoverAck{}},
@@ -105,8 +106,16 @@
 	return &Codec{encode: encode, decode: decode, classes: classes}, nil
 }
 
-// class returns the class of a body, and false when its type is not registered.
+// class returns the class of a body, and false when its type is not registered. A
+// bundle, which is small, has the class of its most urgent part.
 func (c *Codec) class(body any) (Class, bool) {
+	if bundle, ok := body.(message.Bundle); ok {
+		class := Bulk
+		for _, part := range bundle.Bodies {
+			class = min(class, c.classes[reflect.TypeOf(part)])
+		}
+		return class, true
+	}
 	class, ok := c.classes[reflect.TypeOf(body)]
 	return class, ok
 }
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -74,6 +74,12 @@
 	anyOf[message.CancelReply](),
 	anyOf[message.HandoverPart](),
 	anyOf[message.HandoverAck](),
+	bundle,
+}
+
+// bundle draws a bundle of two other bodies.
+func bundle(t *rapid.T) any {
+	return message.Bundle{Bodies: []any{anyOf[message.ResultAck]()(t), claimBatch(t)}}
 }
 
 // claimBatch draws a batch, whose requests have their types on the wire.
