Move the witness to localcluster

Cause: the measurement of regions that lose each other has to compare what callers were told with what started, as the process tests do.

A second witness in the load program was ruled out, since two would drift apart.

Conclusion: the process tests check what they checked before.

--- a/internal/proctest/witness_test.go
+++ b/internal/localcluster/witness.go
@@ -1,4 +1,4 @@
-package proctest_test
+package localcluster
 
 import (
 	"bytes"
@@ -6,9 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"zinniasill"
@@ -25,9 +25,11 @@
 	from time.Time
 }
 
-// witness records the refusals that the entries sent and the answers that callers
-// got, to be compared with the starts that the endpoints saw.
-type witness struct {
+// Witness records the refusals that the entries sent and the answers that callers
+// got, to be compared with the starts that the endpoints saw. It is the transport
+// of the callers' clients; payloads have the ids that TaskID returns. Use
+// NewWitness.
+type Witness struct {
 	next http.RoundTripper
 
 	mu       sync.Mutex
@@ -38,17 +40,18 @@
 	answered map[string]int
 }
 
-func newWitness() *witness {
+// NewWitness returns a witness that sends requests over connections of its own.
+func NewWitness() *Witness {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 256
-	return &witness{
+	return &Witness{
 		next: transport, open: map[string]int{}, overlaps: map[string]int{},
 		refusals: map[string][]refusal{}, answered: map[string]int{},
 	}
 }
 
 // RoundTrip implements http.RoundTripper.
-func (w *witness) RoundTrip(request *http.Request) (*http.Response, error) {
+func (w *Witness) RoundTrip(request *http.Request) (*http.Response, error) {
 	key := request.Header.Get("Idempotency-Key")
 	if key == "" {
 		return w.next.RoundTrip(request)
@@ -85,7 +88,7 @@
 
 // begin notes an open request. Its result changes when another request for the key
 // is open until the end.
-func (w *witness) begin(key string) int {
+func (w *Witness) begin(key string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.open[key] > 0 {
@@ -97,28 +100,29 @@
 	return w.overlaps[key]
 }
 
-func (w *witness) end(key string) int {
+func (w *Witness) end(key string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.open[key]--
 	return w.overlaps[key]
 }
 
-func (w *witness) refused(key string, seen refusal) {
+func (w *Witness) refused(key string, seen refusal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.refusals[key] = append(w.refusals[key], seen)
 }
 
-func (w *witness) complete(key string, tasks int) {
+// Complete notes a job whose whole answer a caller got.
+func (w *Witness) Complete(key string, tasks int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.answered[key] = tasks
 }
 
-// check compares what callers were told with the starts: no task started twice,
+// Check compares what callers were told with the starts: no task started twice,
 // each task of an answered job once, and none of a job whose refusal said not-run.
-func (w *witness) check(history []stubendpoint.Start) (findings []string) {
+func (w *Witness) Check(history []stubendpoint.Start) (findings []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	starts := map[string]int{}
@@ -137,7 +141,7 @@
 	}
 	for key, tasks := range w.answered {
 		for i := range tasks {
-			if id := taskID(key, i); starts[id] != 1 {
+			if id := TaskID(key, i); starts[id] != 1 {
 				found("job %s was answered, its task %s started %d times", key, id, starts[id])
 			}
 		}
@@ -161,46 +165,43 @@
 	return r.retry == zinniasill.RetrySameKey && start.At.After(r.from)
 }
 
+// TaskID returns the id of a job's task that the witness expects in the payload.
+func TaskID(key string, i int) string {
+	return key + "/" + strconv.Itoa(i)
+}
+
 func jobOf(task string) string {
 	key, _, _ := strings.Cut(task, "/")
 	return key
 }
 
-// TestWitness guards against a check that passes over what the process tests are
-// there to find.
-func TestWitness(t *testing.T) {
-	at := time.Now()
-	starts := func(times ...time.Duration) []stubendpoint.Start {
-		var history []stubendpoint.Start
-		for _, offset := range times {
-			history = append(history, stubendpoint.Start{ID: taskID("job", 0), At: at.Add(offset)})
-		}
-		return history
-	}
-	refused := func(retry zinniasill.Retry) map[string][]refusal {
-		return map[string][]refusal{"job": {{code: zinniasill.ReasonOverload, retry: retry, from: at}}}
-	}
-	tests := map[string]struct {
-		answered map[string]int
-		refusals map[string][]refusal
-		history  []stubendpoint.Start
-		findings int
-	}{
-		"answered, one start":              {answered: map[string]int{"job": 1}, history: starts(0)},
-		"answered, no start":               {answered: map[string]int{"job": 1}, findings: 1},
-		"started twice":                    {history: starts(0, time.Second), findings: 1},
-		"one of two tasks started":         {answered: map[string]int{"job": 2}, history: starts(0), findings: 1},
-		"not-run, no start":                {refusals: refused(zinniasill.RetryNewKey)},
-		"not-run, settled key, start":      {refusals: refused(zinniasill.RetryNewKey), history: starts(time.Second), findings: 1},
-		"not-run, same key, start before":  {refusals: refused(zinniasill.RetrySameKey), history: starts(-time.Second), findings: 1},
-		"not-run, same key, started later": {refusals: refused(zinniasill.RetrySameKey), history: starts(time.Second)},
+// Answered returns the number of jobs whose answers were noted with Complete.
+func (w *Witness) Answered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.answered)
+}
+
+// NotRun returns the number of refusals with ran: not-run so far.
+func (w *Witness) NotRun() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, list := range w.refusals {
+		count += len(list)
 	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			w := &witness{answered: tt.answered, refusals: tt.refusals}
-			if findings := w.check(tt.history); len(findings) != tt.findings {
-				t.Errorf("findings %q, want %d", findings, tt.findings)
-			}
-		})
+	return count
+}
+
+// Codes counts the refusals by code and advice.
+func (w *Witness) Codes() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := map[string]int{}
+	for _, list := range w.refusals {
+		for _, seen := range list {
+			count[string(seen.code)+" "+string(seen.retry)]++
+		}
 	}
+	return count
 }
--- a/internal/proctest/agent_test.go
+++ b/internal/proctest/agent_test.go
@@ -97,7 +97,7 @@
 	unknown := 0
 	for i, job := range jobs {
 		var refused *client.RefusalError
-		id := taskID(job.Key, 0)
+		id := localcluster.TaskID(job.Key, 0)
 		switch {
 		case !started[id] && failed[i] != nil:
 			f.Errorf("job %s did not start at the lost agent: %v", job.Key, failed[i])
--- a/internal/proctest/fixture_test.go
+++ b/internal/proctest/fixture_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -44,7 +43,7 @@
 	*localcluster.Cluster
 	ctx     context.Context //nolint:containedctx // The time limit of one test.
 	network *localcluster.Network
-	witness *witness
+	witness *localcluster.Witness
 	// away are control replicas that operators don't ask, since they would wait for
 	// each answer in vain.
 	away []*localcluster.Process
@@ -59,7 +58,7 @@
 	t.Cleanup(func() { <-clusters })
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	f := &fixture{T: t, ctx: ctx, network: &localcluster.Network{}, witness: newWitness()}
+	f := &fixture{T: t, ctx: ctx, network: &localcluster.Network{}, witness: localcluster.NewWitness()}
 	t.Cleanup(f.network.Close)
 	cluster, err := localcluster.Start(ctx, localcluster.Config{
 		Binary: binary, Folder: t.TempDir(), Controls: 3, Entries: 2, Agents: agents, Domains: 3,
@@ -86,11 +85,11 @@
 	for _, stub := range f.Stubs {
 		history = append(history, stub.History()...)
 	}
-	for _, finding := range f.witness.check(history) {
+	for _, finding := range f.witness.Check(history) {
 		f.Error(finding)
 	}
 	f.Logf("%d starts, %d jobs answered, %d refusals with ran: not-run",
-		len(history), len(f.witness.answered), f.witness.notRun())
+		len(history), f.witness.Answered(), f.witness.NotRun())
 	if f.Failed() {
 		for _, p := range f.All() {
 			f.Logf("end of the log of %s:\n%s", p.Name, tail(p.Log()))
@@ -187,14 +186,10 @@
 	return client.New(cfg)
 }
 
-func taskID(key string, i int) string {
-	return key + "/" + strconv.Itoa(i)
-}
-
 func newJob(key string, tasks, runMS int) client.Job {
 	job := client.Job{Key: key, Profile: profile}
 	for i := range tasks {
-		job.Tasks = append(job.Tasks, stubendpoint.Payload{ID: taskID(key, i), RunMS: runMS}.Encode())
+		job.Tasks = append(job.Tasks, stubendpoint.Payload{ID: localcluster.TaskID(key, i), RunMS: runMS}.Encode())
 	}
 	return job
 }
@@ -209,12 +204,12 @@
 		f.Errorf("job %s got %d outputs of job %s", job.Key, len(answer.Outputs), answer.Key)
 	}
 	for i, output := range answer.Outputs {
-		want := stubendpoint.Payload{ID: taskID(job.Key, i)}.Output()
+		want := stubendpoint.Payload{ID: localcluster.TaskID(job.Key, i)}.Output()
 		if string(output) != string(want) {
 			f.Errorf("output %d of job %s is %q", i, job.Key, output)
 		}
 	}
-	f.witness.complete(job.Key, len(job.Tasks))
+	f.witness.Complete(job.Key, len(job.Tasks))
 	return nil
 }
 
--- a/internal/proctest/refusal_test.go
+++ b/internal/proctest/refusal_test.go
@@ -55,10 +55,10 @@
 		}
 	}
 	wait.Wait()
-	if f.witness.notRun() == 0 || len(f.Starts()) == 0 {
-		t.Errorf("%d refusals with ran: not-run and %d starts to check", f.witness.notRun(), len(f.Starts()))
+	if f.witness.NotRun() == 0 || len(f.Starts()) == 0 {
+		t.Errorf("%d refusals with ran: not-run and %d starts to check", f.witness.NotRun(), len(f.Starts()))
 	}
-	t.Logf("refusals by code: %v", f.witness.codes())
+	t.Logf("refusals by code: %v", f.witness.Codes())
 }
 
 // sendEverywhere sends a job through all clients at once. Errors are checked by
@@ -70,27 +70,3 @@
 	}
 	wait.Wait()
 }
-
-// notRun returns the number of refusals with ran: not-run so far.
-func (w *witness) notRun() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	count := 0
-	for _, list := range w.refusals {
-		count += len(list)
-	}
-	return count
-}
-
-// codes counts the refusals by code and advice.
-func (w *witness) codes() map[string]int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	count := map[string]int{}
-	for _, list := range w.refusals {
-		for _, seen := range list {
-			count[string(seen.code)+" "+string(seen.retry)]++
-		}
-	}
-	return count
-}
