Show a role its new catalog only with its restart

Cause: in a trial of regions that lost each other, entries that were declared dead answered record-lost and key-expired with retry: none to jobs of a profile that allows resubmission. The keeper replaced the dead incarnation's lease and catalog at once, and the entry took over the new incarnation only after its next event. That event saw an empty catalog, in which all nodes look dead and no epoch or profile is known, while the jobs of the dead incarnation were open.

Change: the role sees the lease and the catalog of the dead incarnation, which is not valid, until TakeRestart. Stand-in nodes of the load program have no role and take over by themselves. Ruled out: a check of the catalog's revision at each entry point of the coordinator, since it has to be repeated everywhere and agents would need it too.

The other open jobs get outcome-unknown with retry: same-key, which is true.

Conclusion: no answer was false about what ran, but the advice was wrong.

--- a/cmd/load/standin.go
+++ b/cmd/load/standin.go
@@ -28,6 +28,13 @@
 	ended     <-chan error
 }
 
+// valid reports whether the stand-in holds a lease. It has no role with state to
+// discard, so that it takes over a new incarnation here.
+func (s *standIn) valid(now time.Time) bool {
+	s.keeper.TakeRestart()
+	return s.keeper.Valid(now)
+}
+
 // members are the listen addresses of the control replicas.
 type members map[zinniasill.NodeID]string
 
@@ -123,7 +130,7 @@
 	return localcluster.Poll(ctx, fmt.Sprintf("%d stand-ins to hold a lease", n), func() bool {
 		now := time.Now()
 		for _, s := range f.nodes {
-			if !s.keeper.Valid(now) {
+			if !s.valid(now) {
 				return false
 			}
 		}
@@ -166,7 +173,7 @@
 	count := 0
 	now := time.Now()
 	for _, s := range f.nodes {
-		if !s.keeper.Valid(now) {
+		if !s.valid(now) {
 			count++
 		}
 	}
--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -44,19 +44,29 @@
 type Keeper struct {
 	cfg    KeeperConfig
 	holder atomic.Pointer[lease.Holder]
+	// used is the holder that the role sees. It is that of the dead incarnation
+	// until the role has taken the new one over: with the empty catalog of the new
+	// one it would take all nodes for dead and the records of its jobs for lost.
+	used   atomic.Pointer[lease.Holder]
 	node   atomic.Pointer[zinniasill.Node]
 	report atomic.Pointer[catalog.NodeEntry]
 	// restarted is the new incarnation until the role has taken it over.
-	restarted atomic.Pointer[zinniasill.Node]
+	restarted atomic.Pointer[incarnation]
 	loop      *daemon.Loop
 	valid     bool
 }
 
+// incarnation is a life of the node and its lease.
+type incarnation struct {
+	node   zinniasill.Node
+	holder *lease.Holder
+}
+
 // NewKeeper returns a keeper that has not started.
 func NewKeeper(cfg KeeperConfig) *Keeper {
 	k := &Keeper{cfg: cfg}
 	k.report.Store(&cfg.Entry)
-	k.renew()
+	k.used.Store(k.renew().holder)
 	k.loop = daemon.New(daemon.Config{
 		Machine: k, Sender: cfg.Sender, Clock: cfg.Clock, Tick: leaseTick, After: k.after,
 	})
@@ -64,15 +74,17 @@
 }
 
 // renew takes a new incarnation with a new holder. The cluster stays the same.
-func (k *Keeper) renew() {
+func (k *Keeper) renew() *incarnation {
 	entry := *k.report.Load()
 	entry.Node.Incarnation = NewIncarnation()
 	cfg := lease.Config{Entry: entry, Replicas: k.cfg.Replicas}
 	if holder := k.holder.Load(); holder != nil {
 		cfg.Cluster = holder.Cluster()
 	}
-	k.holder.Store(lease.New(cfg))
-	k.node.Store(&entry.Node)
+	taken := &incarnation{node: entry.Node, holder: lease.New(cfg)}
+	k.holder.Store(taken.holder)
+	k.node.Store(&taken.node)
+	return taken
 }
 
 // Start starts the keeper's goroutine; the returned channel is closed at its end.
@@ -100,24 +112,27 @@
 	return k.holder.Load().Length()
 }
 
-// Valid reports whether the node holds a lease at now.
+// Valid reports whether the role holds a lease at now. It does not from the death
+// of its incarnation until TakeRestart.
 func (k *Keeper) Valid(now time.Time) bool {
-	return k.holder.Load().Valid(now)
+	return k.used.Load().Valid(now)
 }
 
-// Catalog returns the node's catalog.
+// Catalog returns the role's catalog, which after the death of its incarnation is
+// the last one of that incarnation until TakeRestart.
 func (k *Keeper) Catalog() *catalog.Catalog {
-	return k.holder.Load().Catalog()
+	return k.used.Load().Catalog()
 }
 
 // TakeRestart returns the incarnation that the node has taken since the last call,
 // because the one before was declared dead. The role must discard its state then.
 func (k *Keeper) TakeRestart() (zinniasill.Node, bool) {
-	node := k.restarted.Swap(nil)
-	if node == nil {
+	taken := k.restarted.Swap(nil)
+	if taken == nil {
 		return zinniasill.Node{}, false
 	}
-	return *node, true
+	k.used.Store(taken.holder)
+	return taken.node, true
 }
 
 // RenewSoon renews the lease before its time, to learn of changes.
@@ -164,9 +179,8 @@
 		return
 	}
 	dead := k.Node()
-	k.renew()
-	k.cfg.Log.WithField("dead", dead).WithField("node", k.Node()).
+	taken := k.renew()
+	k.cfg.Log.WithField("dead", dead).WithField("node", taken.node).
 		Warn("declared dead by control; continuing under a new incarnation")
-	node := k.Node()
-	k.restarted.Store(&node)
+	k.restarted.Store(taken)
 }
