Report the load with answers to claims

Cause: since replies and results wait for others, an entry places tasks by load reports that are up to 150 ms old.

Change: an agent adds a LoadReport to the answers to claims that leave without another report in the same message. They go to entries that are about to place a task.

--- a/core/agent/outbox.go
+++ b/core/agent/outbox.go
@@ -23,6 +23,7 @@
 	a.flushReplies()
 	a.flushResults()
 	a.flushHeld()
+	a.addLoads()
 	out := message.Join(a.outbox)
 	a.outbox = nil
 	for _, h := range a.hosted {
@@ -152,6 +153,30 @@
 	})
 }
 
+// addLoads adds a load report to the answers to claims that leave without one, so
+// that entries place tasks by recent loads although replies are kept back.
+func (a *Agent) addLoads() {
+	if a.leaving || a.slots == 0 {
+		return
+	}
+	var with, without []zinniasill.Node
+	for _, env := range a.outbox {
+		switch env.Body.(type) {
+		case message.ClaimReply, message.ClaimReplies:
+			without = append(without, env.To)
+		case message.OfferReply, message.WithdrawReply, message.FenceReply, message.Result:
+			with = append(with, env.To)
+		default:
+		}
+	}
+	for _, node := range without {
+		if !slices.Contains(with, node) {
+			a.send(node, message.LoadReport{Load: a.load()})
+			with = append(with, node)
+		}
+	}
+}
+
 // receivers returns the processes that get a message now.
 func (a *Agent) receivers() []zinniasill.Node {
 	var nodes []zinniasill.Node
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -210,6 +210,8 @@
 		for _, reply := range body.Replies {
 			c.claimReply(now, env.From, reply)
 		}
+	case message.LoadReport:
+		c.views.Report(now, env.From, body.Load)
 	case message.OfferReply:
 		c.views.Report(now, env.From, body.Load)
 		c.statuses(now, env.From, body.Key, body.Term, body.Tasks)
--- a/core/job/real_test.go
+++ b/core/job/real_test.go
@@ -45,16 +45,17 @@
 }
 
 // read asks the agent for a register on behalf of the test.
-func (r *realAgent) read(node zinniasill.Node, register message.Register) message.ClaimReply {
+func (r *realAgent) read(node zinniasill.Node, register message.Register) (reply message.ClaimReply) {
 	test := zinniasill.Node{ID: "test"}
 	r.Receive(r.world.now, message.Envelope{From: test, To: node, Body: message.ClaimRead{Register: register}})
-	for _, env := range r.Outbox() {
-		if env.To == test {
-			return env.Body.(message.ClaimReply)
+	for _, env := range message.Split(r.Outbox()) {
+		if env.To != test {
+			r.world.flight = append(r.world.flight, env)
+		} else if answer, ok := env.Body.(message.ClaimReply); ok {
+			reply = answer
 		}
-		r.world.flight = append(r.world.flight, env)
 	}
-	return message.ClaimReply{}
+	return reply
 }
 
 func (r *realAgent) tick() {
--- a/core/message/bundle.go
+++ b/core/message/bundle.go
@@ -78,7 +78,7 @@
 		return len(m.Requests) * partBytes, true
 	case ClaimReplies:
 		return len(m.Replies) * partBytes, true
-	case Fetch, Grant, Withdraw, Fence, ResultAck:
+	case LoadReport, Fetch, Grant, Withdraw, Fence, ResultAck:
 		return partBytes, true
 	case Offer:
 		bytes := partBytes
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -51,6 +51,11 @@
 	Succeeded uint64 `cbor:"7,keyasint"`
 }
 
+// LoadReport accompanies messages that carry no Load of their own.
+type LoadReport struct {
+	Load Load `cbor:"1,keyasint"`
+}
+
 // Renew asks a control replica for a lease and for changes after Known.
 type Renew struct {
 	Sequence uint64              `cbor:"1,keyasint"`
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -62,6 +62,7 @@
 		{Number: 32, Sample: message.Cancel{}},
 		{Number: 33, Sample: message.CancelReply{}},
 		{Number: 34, Sample: message.Bundle{}},
+		{Number: 35, Sample: message.LoadReport{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
 		{Number: 20, Sample: message.HandoverPart{}, Class: Bulk},
 		{Number: 21, Sample: message.HandoverAck{}},
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -75,6 +75,7 @@
 	anyOf[message.HandoverPart](),
 	anyOf[message.HandoverAck](),
 	bundle,
+	anyOf[message.LoadReport](),
 }
 
 // bundle draws a bundle of two other bodies.
