Send of an envelope's header only what has changed on the link

Every envelope repeated the cluster id, the sender and the receiver, about 100 of its bytes, and each was decoded into new strings. On one link they are almost always those of the envelope before.

An envelope now carries only the header fields that differ from the envelope before it on the same connection; the first one carries all. A process that answers for another, a new incarnation and the formation of a cluster change the header in the course of a link, so leaving the fields to the hello of the link was ruled out. An envelope that is encoded but not sent does not become the reference of the next one. The message version is 2; the hello and the first envelope of a connection still carry it and another version is refused and counted as before.

--- a/core/message/message.go
+++ b/core/message/message.go
@@ -14,7 +14,7 @@
 
 // Version is the version of the messages. A process refuses messages of
 // another version.
-const Version = 1
+const Version = 2
 
 // Limits of one job.
 const (
@@ -26,15 +26,16 @@
 	MaxBody = 8 << 20
 )
 
-// Envelope carries one message between two processes.
+// Envelope carries one message between two processes. Package peer owns its form on
+// the wire.
 type Envelope struct {
-	Version uint16               `cbor:"1,keyasint"`
-	Cluster zinniasill.ClusterID `cbor:"2,keyasint"`
-	From    zinniasill.Node      `cbor:"3,keyasint"`
+	Version uint16
+	Cluster zinniasill.ClusterID
+	From    zinniasill.Node
 	// To is the receiver. Incarnation 0 addresses any incarnation.
-	To zinniasill.Node `cbor:"4,keyasint"`
+	To zinniasill.Node
 	// Body is a value of one of the message types, never a pointer.
-	Body any `cbor:"5,keyasint"`
+	Body any
 }
 
 // Load is an agent's report on its own load.
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bytes"
 	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
@@ -67,7 +66,7 @@
 	}
 }
 
-// Codec encodes and decodes envelopes. It is safe for concurrent use.
+// Codec encodes and decodes message bodies. It is safe for concurrent use.
 type Codec struct {
 	encode  cbor.UserBufferEncMode
 	decode  cbor.DecMode
@@ -110,31 +109,3 @@
 	class, ok := c.classes[reflect.TypeOf(body)]
 	return class, ok
 }
-
-// Encode appends the encoded envelope to buf. It returns an error when the type
-// of the body is not registered.
-func (c *Codec) Encode(buf *bytes.Buffer, env message.Envelope) error {
-	if _, ok := c.class(env.Body); !ok {
-		return eris.Errorf("message type %T is not registered", env.Body)
-	}
-	return eris.Wrapf(c.encode.MarshalToBuffer(env, buf), "encode %T", env.Body)
-}
-
-// Decode decodes the first envelope of data and returns the bytes after it. The
-// envelope shares no memory with data.
-func (c *Codec) Decode(data []byte) (env message.Envelope, rest []byte, err error) {
-	rest, err = c.decode.UnmarshalFirst(data, &env)
-	if err != nil {
-		return message.Envelope{}, nil, &ProtocolError{Reason: reasonMalformed, Message: err.Error()}
-	}
-	if env.Version != message.Version {
-		return message.Envelope{}, nil, versionError(env.Version)
-	}
-	if _, ok := c.class(env.Body); !ok {
-		return message.Envelope{}, nil, &ProtocolError{
-			Reason:  reasonUnknownType,
-			Message: "body is not a registered message type",
-		}
-	}
-	return env, rest, nil
-}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -26,7 +26,7 @@
 func encoded(t testing.TB, codec *Codec, env message.Envelope) []byte {
 	t.Helper()
 	var buf bytes.Buffer
-	if err := codec.Encode(&buf, env); err != nil {
+	if err := (&encoder{codec: codec}).encode(&buf, env); err != nil {
 		t.Fatal(err)
 	}
 	return buf.Bytes()
@@ -110,10 +110,10 @@
 		rapid.Check(t, func(r *rapid.T) {
 			env := envelope(draw(r))
 			var buf bytes.Buffer
-			if err := codec.Encode(&buf, env); err != nil {
+			if err := (&encoder{codec: codec}).encode(&buf, env); err != nil {
 				r.Fatal(err)
 			}
-			got, rest, err := codec.Decode(append(buf.Bytes(), 1, 2))
+			got, rest, err := (&decoder{codec: codec}).decode(append(buf.Bytes(), 1, 2))
 			if err != nil || len(rest) != 2 {
 				r.Fatalf("%T: %v, %d bytes left", env.Body, err, len(rest))
 			}
@@ -124,6 +124,49 @@
 	}
 }
 
+// headless returns an envelope that refers to one before it.
+func headless(t testing.TB, codec *Codec) []byte {
+	t.Helper()
+	var buf bytes.Buffer
+	out := &encoder{codec: codec, last: header{version: message.Version}}
+	if err := out.encode(&buf, envelope(message.Grant{})); err != nil {
+		t.Fatal(err)
+	}
+	return buf.Bytes()
+}
+
+// Guards against a field of a header that one envelope takes from another than the
+// one before it, in particular from one that was encoded and not sent.
+func TestCodecKeepsHeadersOfALink(t *testing.T) {
+	codec := newCodec(t)
+	node := func(r *rapid.T, label string) zinniasill.Node {
+		return zinniasill.Node{
+			ID:          rapid.SampledFrom([]zinniasill.NodeID{"", "a", "b"}).Draw(r, label),
+			Incarnation: zinniasill.Incarnation(rapid.IntRange(0, 2).Draw(r, label+" incarnation")),
+		}
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		out, in := &encoder{codec: codec}, &decoder{codec: codec}
+		for range rapid.IntRange(1, 20).Draw(r, "envelopes") {
+			env := message.Envelope{
+				Version: message.Version, Cluster: rapid.SampledFrom([]zinniasill.ClusterID{"", "c", "d"}).Draw(r, "cluster"),
+				From: node(r, "from"), To: node(r, "to"), Body: message.Fetch{},
+			}
+			var buf bytes.Buffer
+			if err := out.encode(&buf, env); err != nil {
+				r.Fatal(err)
+			}
+			if rapid.Bool().Draw(r, "dropped") {
+				continue
+			}
+			out.keep()
+			if got, _, err := in.decode(buf.Bytes()); err != nil || !reflect.DeepEqual(got, env) {
+				r.Fatalf("got %+v, %v, want %+v", got, err, env)
+			}
+		}
+	})
+}
+
 // later is a type that only a later release knows.
 type later struct{ A int }
 
@@ -143,13 +186,14 @@
 	}{
 		"unknown type":    {encoded(t, more, envelope(later{1})), reasonUnknownType},
 		"unknown version": {encoded(t, codec, old), reasonVersion},
+		"no version":      {headless(t, codec), reasonVersion},
 		"cut off":         {good[:len(good)-1], reasonMalformed},
 		"not CBOR":        {[]byte("GET / HTTP/1.1\r\n\r\n"), reasonMalformed},
 		"empty":           {nil, reasonMalformed},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			_, _, err := codec.Decode(test.data)
+			_, _, err := (&decoder{codec: codec}).decode(test.data)
 			var protocol *ProtocolError
 			if !errors.As(err, &protocol) || protocol.Reason != test.want {
 				t.Fatalf("got %v, want reason %s", err, test.want)
@@ -157,7 +201,7 @@
 		})
 	}
 	var buf bytes.Buffer
-	if err := codec.Encode(&buf, envelope("text")); err == nil {
+	if err := (&encoder{codec: codec}).encode(&buf, envelope("text")); err == nil {
 		t.Fatal("a body without a number was encoded")
 	}
 	if _, err := NewCodec(Type{Number: 1, Sample: later{}}); err == nil {
@@ -176,11 +220,11 @@
 	f.Add([]byte{0x9f, 0xff})
 	f.Add([]byte{0xbb, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		env, _, err := codec.Decode(data)
+		env, _, err := (&decoder{codec: codec}).decode(data)
 		if err != nil {
 			return
 		}
-		again, rest, err := codec.Decode(encoded(t, codec, env))
+		again, rest, err := (&decoder{codec: codec}).decode(encoded(t, codec, env))
 		if err != nil || len(rest) != 0 || !reflect.DeepEqual(reflect.TypeOf(again.Body), reflect.TypeOf(env.Body)) {
 			t.Fatalf("decoded %+v, but its encoding gives %+v, %v", env, again, err)
 		}
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -95,8 +95,9 @@
 	hello hello
 	// encoded holds encoded envelopes of a frame to send.
 	encoded []byte
-	// deliver receives the envelopes of a received frame.
+	// deliver receives the envelopes of a received frame, which decoder decodes.
 	deliver func(env message.Envelope)
+	decoder *decoder
 }
 
 // encoding implements drpc.Encoding for *frame.
@@ -146,7 +147,7 @@
 	case in.kind == frameHello:
 		return e.unmarshalHello(body, in)
 	case in.kind == frameEnvelopes && in.deliver != nil:
-		return e.unmarshalEnvelopes(body, in.deliver)
+		return unmarshalEnvelopes(body, in)
 	case (in.kind == framePing || in.kind == framePong) && len(body) == 0:
 		return nil
 	}
@@ -166,13 +167,13 @@
 	return nil
 }
 
-func (e encoding) unmarshalEnvelopes(body []byte, deliver func(message.Envelope)) error {
+func unmarshalEnvelopes(body []byte, in *frame) error {
 	for len(body) > 0 {
-		env, rest, err := e.codec.Decode(body)
+		env, rest, err := in.decoder.decode(body)
 		if err != nil {
 			return err
 		}
-		deliver(env)
+		in.deliver(env)
 		body = rest
 	}
 	return nil
--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -204,7 +204,7 @@
 // receive delivers envelopes and answers pings until the link ends.
 func (i *inbound) receive() error {
 	t := i.transport
-	in := frame{deliver: i.deliver}
+	in := frame{deliver: i.deliver, decoder: &decoder{codec: t.cfg.Codec}}
 	pong := frame{kind: framePong}
 	for {
 		if err := i.stream.MsgRecv(&in, t.encoding); err != nil {
--- a/io/peer/outbound.go
+++ b/io/peer/outbound.go
@@ -157,7 +157,7 @@
 		failed <- o.readPongs(stream)
 		_ = c.Close()
 	})
-	writer := &batchWriter{out: o, stream: stream}
+	writer := &batchWriter{out: o, stream: stream, encoder: encoder{codec: o.transport.cfg.Codec}}
 	for {
 		select {
 		case err := <-failed:
@@ -192,10 +192,12 @@
 
 // batchWriter encodes envelopes into frames.
 type batchWriter struct {
-	out    *outbound
-	stream drpc.Stream
-	batch  []message.Envelope
-	buf    bytes.Buffer
+	out     *outbound
+	stream  drpc.Stream
+	encoder encoder
+	batch   []message.Envelope
+	buf     bytes.Buffer
+	frame   frame
 }
 
 // drain sends what waits now, and leaves the rest of a long queue for the next
@@ -222,7 +224,7 @@
 func (w *batchWriter) add(env message.Envelope) error {
 	t := w.out.transport
 	start := w.buf.Len()
-	if err := t.cfg.Codec.Encode(&w.buf, env); err != nil {
+	if err := w.encoder.encode(&w.buf, env); err != nil {
 		w.buf.Truncate(start)
 		t.drop(reasonUnregistered)
 		return nil
@@ -233,6 +235,7 @@
 		t.drop(reasonOversized)
 		return nil
 	}
+	w.encoder.keep()
 	t.sent.Add(1)
 	if w.buf.Len() < batchBytes {
 		return nil
@@ -267,5 +270,6 @@
 func (w *batchWriter) send(encoded []byte) error {
 	t := w.out.transport
 	t.frames.Add(1)
-	return w.stream.MsgSend(&frame{kind: frameEnvelopes, encoded: encoded}, t.encoding)
+	w.frame = frame{kind: frameEnvelopes, encoded: encoded}
+	return w.stream.MsgSend(&w.frame, t.encoding)
 }
