Leave zero fields out of claim replies, loads and outcomes

A reply to a claim carried three ballots of 5 bytes that are mostly zero, and an empty value of 45 bytes where it has none; a load report carried zero counts; an outcome carried its field names as text.

These fields are now left out when they are zero, and an outcome has numbers for names.

The gain is in bytes, and larger for jobs whose look-ups in earlier epochs find nothing.

--- a/core/message/claim.go
+++ b/core/message/claim.go
@@ -31,7 +31,7 @@
 	Owner  zinniasill.Node   `cbor:"1,keyasint"`
 	Digest zinniasill.Digest `cbor:"2,keyasint"`
 	// Candidates are the agents that the owner may offer tasks to.
-	Candidates []zinniasill.Node `cbor:"3,keyasint"`
+	Candidates []zinniasill.Node `cbor:"3,keyasint,omitempty"`
 	// Tombstone closes the register without an owner of the job. Owner is then the
 	// entry that closed it.
 	Tombstone bool `cbor:"4,keyasint,omitempty"`
@@ -78,16 +78,16 @@
 type ClaimReply struct {
 	Register Register `cbor:"1,keyasint"`
 	// Ballot is the ballot of the request.
-	Ballot Ballot `cbor:"2,keyasint"`
+	Ballot Ballot `cbor:"2,keyasint,omitzero"`
 	// Prepare is true for the answer to a ClaimPrepare.
 	Prepare bool `cbor:"3,keyasint,omitempty"`
 	// OK is true when the promise was given or the value accepted.
 	OK       bool   `cbor:"4,keyasint,omitempty"`
-	Promised Ballot `cbor:"5,keyasint"`
+	Promised Ballot `cbor:"5,keyasint,omitzero"`
 	// Accepted and Value are valid when HasValue is true.
 	HasValue bool   `cbor:"6,keyasint,omitempty"`
-	Accepted Ballot `cbor:"7,keyasint"`
-	Value    Claim  `cbor:"8,keyasint"`
+	Accepted Ballot `cbor:"7,keyasint,omitzero"`
+	Value    Claim  `cbor:"8,keyasint,omitzero"`
 	// Expired is true when the register's epoch has left the retention window.
 	Expired bool `cbor:"9,keyasint,omitempty"`
 }
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -41,15 +41,15 @@
 // Load is an agent's report on its own load.
 type Load struct {
 	Slots  int `cbor:"1,keyasint"`
-	Busy   int `cbor:"2,keyasint"`
-	Queued int `cbor:"3,keyasint"`
+	Busy   int `cbor:"2,keyasint,omitempty"`
+	Queued int `cbor:"3,keyasint,omitempty"`
 	// QueuedWork is the sum of the expected run times of the queued tasks.
-	QueuedWork time.Duration `cbor:"4,keyasint"`
+	QueuedWork time.Duration `cbor:"4,keyasint,omitempty"`
 	// RunningWork is the expected rest of the running tasks.
-	RunningWork time.Duration `cbor:"5,keyasint"`
+	RunningWork time.Duration `cbor:"5,keyasint,omitempty"`
 	// Failed and Succeeded count finished tasks since the agent started.
-	Failed    uint64 `cbor:"6,keyasint"`
-	Succeeded uint64 `cbor:"7,keyasint"`
+	Failed    uint64 `cbor:"6,keyasint,omitempty"`
+	Succeeded uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Renew asks a control replica for a lease and for changes after Known.
--- a/core/message/task.go
+++ b/core/message/task.go
@@ -26,7 +26,7 @@
 
 // TaskRef names one attempt of one task.
 type TaskRef struct {
-	Index   zinniasill.TaskIndex `cbor:"1,keyasint"`
+	Index   zinniasill.TaskIndex `cbor:"1,keyasint,omitempty"`
 	Attempt zinniasill.Attempt   `cbor:"2,keyasint"`
 }
 
--- a/interface.go
+++ b/interface.go
@@ -27,13 +27,13 @@
 // Outcome is the result of a task that was started.
 type Outcome struct {
 	// OK is true when the endpoint completed the task.
-	OK bool
+	OK bool `cbor:"1,keyasint,omitempty"`
 	// Output is the endpoint's answer, whole.
-	Output []byte
+	Output []byte `cbor:"2,keyasint,omitempty"`
 	// Error says why the task failed.
-	Error string
+	Error string `cbor:"3,keyasint,omitempty"`
 	// Ran is RanUnknown when the endpoint gave no usable answer.
-	Ran Ran
+	Ran Ran `cbor:"4,keyasint,omitempty"`
 }
 
 // Runner runs a task on the endpoint beside an agent. Run returns when the
--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -17,7 +17,7 @@
 	for _, id := range []zinniasill.NodeID{"agent-1", "agent-2", "agent-3"} {
 		agents = append(agents, zinniasill.Node{ID: id, Incarnation: 0xc1b2c3d4e5f60719})
 	}
-	claim := message.Claim{Owner: entry, Candidates: agents, Sequence: 123456}
+	claim := message.Claim{Owner: entry, Digest: zinniasill.Digest{1}, Candidates: agents, Sequence: 123456}
 	load := message.Load{Slots: 32, Busy: 7, RunningWork: 350_000_000, Succeeded: 41234}
 	refs := []message.TaskRef{{Attempt: 1}}
 	finished := message.TaskStatus{
