Run tasks on the HTTP transport without a client

For each run the http.Client parsed the URL again, cloned the request twice and copied its headers, to follow redirects, which a run must not do.

The URL of runs is parsed at the announcement, and a run goes to the transport directly, which follows no redirect. An HTTP client of the project's own with fewer goroutines for each connection was ruled out, since the project adds no parsers or transports.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -37,6 +37,8 @@
 	maxAnnouncement = 16 << 10
 	maxSlots        = 100_000
 	connectTimeout  = time.Second
+	// runPath is appended to the endpoint's URL.
+	runPath = "/run"
 )
 
 // CounterRuns counts runs that ended without a usable answer, by reason.
@@ -82,8 +84,10 @@
 
 // Endpoint is the endpoint beside an agent. Use New.
 type Endpoint struct {
-	cfg    Config
-	client *http.Client
+	cfg Config
+	// transport is used without an http.Client, which would follow redirects and so
+	// could start a task a second time.
+	transport *http.Transport
 
 	// changing is held from a change of known until Changed has returned. Without it
 	// an expiry could be reported after the announcement that ended it, and the
@@ -91,6 +95,7 @@
 	changing sync.Mutex
 	mu       sync.Mutex
 	known    Announcement
+	runURL   *url.URL
 	heard    time.Time
 }
 
@@ -99,15 +104,10 @@
 	if cfg.RunTimeout == 0 {
 		cfg.RunTimeout = DefaultRunTimeout
 	}
-	transport := &http.Transport{
+	return &Endpoint{cfg: cfg, transport: &http.Transport{
 		DialContext:         dialGated,
 		MaxIdleConnsPerHost: maxSlots,
 		DisableCompression:  true,
-	}
-	return &Endpoint{cfg: cfg, client: &http.Client{
-		Transport: transport,
-		// A redirect could start the task a second time.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
@@ -130,7 +130,8 @@
 		http.Error(w, "announcement: data after the JSON object", http.StatusBadRequest)
 		return
 	}
-	if problems := body.check(); len(problems) > 0 {
+	runURL, problems := body.check()
+	if len(problems) > 0 {
 		http.Error(w, "announcement: "+strings.Join(problems, "; "), http.StatusBadRequest)
 		return
 	}
@@ -139,6 +140,7 @@
 	e.mu.Lock()
 	changed := !body.equal(e.known)
 	e.known = body
+	e.runURL = runURL
 	e.heard = e.cfg.Clock.Now()
 	e.mu.Unlock()
 	if changed {
@@ -147,8 +149,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (a Announcement) check() []string {
-	var problems []string
+// check returns the URL of runs, and what is wrong with the announcement.
+func (a Announcement) check() (runURL *url.URL, problems []string) {
 	// The path of a run is appended to the URL, so a query or fragment would hide it.
 	if parsed, err := url.Parse(a.URL); err != nil || parsed.Scheme != "http" || parsed.Host == "" ||
 		strings.ContainsAny(a.URL, "?#") {
@@ -168,7 +170,14 @@
 	if a.State != "serving" && a.State != "leaving" {
 		problems = append(problems, fmt.Sprintf("state: %q is neither serving nor leaving", a.State))
 	}
-	return problems
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	runURL, err := url.Parse(a.URL + runPath)
+	if err != nil {
+		problems = append(problems, "url: "+err.Error())
+	}
+	return runURL, problems
 }
 
 func (a Announcement) equal(other Announcement) bool {
@@ -185,6 +194,7 @@
 	gone := e.known.Slots > 0 && now.Sub(e.heard) >= Expiry
 	if gone {
 		e.known = Announcement{}
+		e.runURL = nil
 	}
 	e.mu.Unlock()
 	if gone {
@@ -195,24 +205,15 @@
 // Run implements zinniasill.Runner. A failure to get a whole answer is RanUnknown:
 // the request may have reached the endpoint.
 func (e *Endpoint) Run(ctx context.Context, task zinniasill.Task) zinniasill.Outcome {
-	e.mu.Lock()
-	base := e.known.URL
-	e.mu.Unlock()
 	id := task.Key.String() + "/" + strconv.FormatUint(uint64(task.Index), 10)
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.RunTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/run", bytes.NewReader(task.Payload))
-	if err != nil {
-		return e.failed(reasonNoAnswer, err.Error())
-	}
-	// When a reused connection ends without an answer, the transport resends a
-	// request that it takes for idempotent. A POST is one only with an
-	// Idempotency-Key header and a body that GetBody can read again.
-	request.GetBody = nil
-	request.Header.Set("Task-Id", id)
-	request.Header.Set("Profile", string(task.Profile))
 	gate := &startGate{ctx: ctx, mayStart: e.cfg.MayStart}
-	response, err := e.client.Do(gate.guard(request))
+	request, ok := e.request(gate.trace(ctx), task, id)
+	if !ok {
+		return e.failed(reasonNoAnswer, "no endpoint has announced itself")
+	}
+	response, err := e.transport.RoundTrip(request)
 	switch {
 	case gate.closed():
 		e.cfg.Counters.Inc(CounterRuns, reasonNoLease)
@@ -237,6 +238,35 @@
 	}
 }
 
+// request returns the request of a run. It reports false when no endpoint is known.
+//
+// When a reused connection ends without an answer, the transport resends a request
+// that it takes for idempotent. A POST is one only with an Idempotency-Key header and
+// a body that GetBody can read again, so neither is set.
+func (e *Endpoint) request(ctx context.Context, task zinniasill.Task, id string) (*http.Request, bool) {
+	e.mu.Lock()
+	target := e.runURL
+	e.mu.Unlock()
+	if target == nil {
+		return nil, false
+	}
+	request := &http.Request{
+		Method: http.MethodPost, URL: target, Host: target.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header:        http.Header{"Task-Id": {id}, "Profile": {string(task.Profile)}},
+		Body:          http.NoBody,
+		ContentLength: int64(len(task.Payload)),
+	}
+	if len(task.Payload) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(task.Payload))
+	}
+	if user := target.User; user != nil {
+		password, _ := user.Password()
+		request.SetBasicAuth(user.Username(), password)
+	}
+	return request.WithContext(ctx), true
+}
+
 func (e *Endpoint) failed(reason zinniasill.Reason, text string) zinniasill.Outcome {
 	e.cfg.Counters.Inc(CounterRuns, reason)
 	return zinniasill.Outcome{Error: string(reason) + ": " + text, Ran: zinniasill.RanUnknown}
--- a/io/endpoint/fake_test.go
+++ b/io/endpoint/fake_test.go
@@ -95,7 +95,7 @@
 	return answer.Code, answer.Body.String()
 }
 
-func (f *fixture) announce(t *testing.T, a endpoint.Announcement) {
+func (f *fixture) announce(t testing.TB, a endpoint.Announcement) {
 	t.Helper()
 	body, err := json.Marshal(a)
 	if err != nil {
--- a/io/endpoint/gate.go
+++ b/io/endpoint/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 )
@@ -22,14 +21,14 @@
 	refused atomic.Bool
 }
 
-// guard returns the request with the gate set on the connection that will carry it.
-func (g *startGate) guard(request *http.Request) *http.Request {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+// trace returns a context for the request that sets the gate on the connection that
+// will carry it.
+func (g *startGate) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*gatedConn); ok {
 			conn.gate.Store(g)
 		}
-	}}
-	return request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	}})
 }
 
 // open reports whether the run may start.
