Encode ended records and registers at the agent, and bound them

Cause: an agent kept 2,206 B of heap for each one-task start with three registers (BenchmarkKept on the code before). A heap profile showed 942 B in the maps of registers, 450 B in task records, 276 B in job records with a map for each job, and the rest in keys and candidate lists. Nothing bounded them.

Change: core/archive keeps encoded records by epoch and key in chunks without pointers, with an index of 4 B a slot. The acceptor keeps its registers there, with nodes as numbers. Kept outputs are in a list by number, and eviction does not touch the records. Ruled out: a map from key to encoded value, which by calculation takes about 146 B for each register; a hash in place of the key, because a handover needs the keys.

From RecordLimit on (12 MiB by default) an agent closes offers of jobs that it has no record of with records-full, and does not keep a record of that. A late copy of such an offer must not start, so the agent goes on refusing unknown jobs of that epoch and earlier ones after it has room again. Fences and withdrawals of unknown jobs are answered without a record for the same reason: nothing of them ever starts there. It hosts no handover. An acceptor neither promises nor accepts in a register that it has not voted in, and says so with Full; it goes on voting in the others and answers reads. A proposer treats a full member like one that is gone: it starts a classic round, and ends with StatusFull when no majority is left. The caller then gets records-full, ran: unknown, because another member may hold the claim. Each refusal is counted.

The model check with a full member visits 14,065 states without a violation; without the rule on refused epochs TestRecordLimit fails.

Each further retained epoch adds registers that hold tombstones.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/catalog"
 	"zinniasill/core/claim"
 	"zinniasill/core/message"
@@ -69,7 +70,10 @@
 	QueueLimit int
 	// OutputBudget in bytes is DefaultOutputBudget if 0.
 	OutputBudget int
-	Counters     zinniasill.Counters
+	// RecordLimit in bytes is DefaultRecordLimit if 0. From there on the agent takes no
+	// job and no register that it has no record of, and hosts no records of others.
+	RecordLimit int
+	Counters    zinniasill.Counters
 }
 
 // Agent is the state machine. Use New. It is not safe for concurrent use.
@@ -86,9 +90,21 @@
 	serving bool
 	leaving bool
 
-	jobs     map[zinniasill.Key]*job
-	epochs   map[zinniasill.Epoch][]*job
+	// jobs are those that have not ended, and ended the encoded others.
+	jobs  map[zinniasill.Key]*job
+	ended archive.Archive
+	// touched are jobs that may have ended in this step, and live counts the tasks
+	// in jobs.
+	touched []*job
+	live    int
+	owners  archive.Nodes
+	// refused is the latest epoch in which a job was refused for want of room, and
+	// refusing is set when the agent takes no job at all.
+	refused  zinniasill.Epoch
+	refusing bool
 	oldest   zinniasill.Epoch
+	// expiring is set while a job of an epoch before oldest is kept.
+	expiring bool
 	queue    queue
 	fetching []*task
 	pending  []*task // offered or granted, to be started by Runs
@@ -99,12 +115,11 @@
 	runningWork time.Duration
 	origin      time.Time
 
-	reporting   []*job // jobs with results to be acknowledged
-	fresh       []*job // jobs with results that were never sent
-	outputs     []*task
-	outputBytes int
-	failed      uint64
-	succeeded   uint64
+	reporting []*job // jobs with results to be acknowledged
+	fresh     []*job // jobs with results that were never sent
+	outputs   archive.Outputs[[]byte]
+	failed    uint64
+	succeeded uint64
 
 	now     time.Time
 	replies []reply
@@ -119,14 +134,19 @@
 	if cfg.OutputBudget == 0 {
 		cfg.OutputBudget = DefaultOutputBudget
 	}
-	return &Agent{
+	if cfg.RecordLimit == 0 {
+		cfg.RecordLimit = DefaultRecordLimit
+	}
+	a := &Agent{
 		cfg:      cfg,
 		acceptor: claim.NewAcceptor(cfg.Self),
 		incoming: map[zinniasill.Node]*incoming{},
 		jobs:     map[zinniasill.Key]*job{},
-		epochs:   map[zinniasill.Epoch][]*job{},
 		running:  map[*task]struct{}{},
+		outputs:  archive.Outputs[[]byte]{Budget: cfg.OutputBudget},
 	}
+	a.acceptor.Limit(a.isFull)
+	return a
 }
 
 // Restart discards all state and continues as another incarnation. It is called
@@ -139,6 +159,7 @@
 	fresh.slots, fresh.kinds, fresh.serving = a.slots, a.kinds, a.serving
 	fresh.leaving = a.leaving
 	*a = *fresh
+	a.acceptor.Limit(a.isFull)
 }
 
 // SetEndpoint tells the state of the endpoint. Zero slots mean that it is gone:
@@ -186,14 +207,7 @@
 		return
 	}
 	a.setNow(now)
-	if answer, ok := a.acceptor.Answer(env.Body); ok {
-		a.send(env.From, answer)
-		return
-	}
-	if batch, ok := env.Body.(message.ClaimBatch); ok {
-		if answers, ok := a.acceptor.AnswerAll(batch); ok {
-			a.send(env.From, answers)
-		}
+	if a.receiveClaim(env) {
 		return
 	}
 	switch body := env.Body.(type) {
@@ -211,6 +225,32 @@
 	a.settle(now)
 }
 
+// receiveClaim answers claim messages and reports whether env was one.
+func (a *Agent) receiveClaim(env message.Envelope) bool {
+	if answer, ok := a.acceptor.Answer(env.Body); ok {
+		a.countFull(answer)
+		a.send(env.From, answer)
+		return true
+	}
+	batch, ok := env.Body.(message.ClaimBatch)
+	if !ok {
+		return false
+	}
+	if answers, ok := a.acceptor.AnswerAll(batch); ok {
+		for _, answer := range answers.Replies {
+			a.countFull(answer)
+		}
+		a.send(env.From, answers)
+	}
+	return true
+}
+
+func (a *Agent) countFull(answer message.ClaimReply) {
+	if answer.Full {
+		a.count(CounterClaimsFull, zinniasill.ReasonRecordsFull)
+	}
+}
+
 // Tick implements daemon.Machine.
 func (a *Agent) Tick(now time.Time) {
 	a.resendHandover(now)
@@ -256,6 +296,7 @@
 func (a *Agent) Outbox() []message.Envelope {
 	a.flushReplies()
 	a.flushResults()
+	a.archiveEnded()
 	out := a.outbox
 	a.outbox = nil
 	for _, h := range a.hosted {
--- a/core/agent/bench_test.go
+++ b/core/agent/bench_test.go
@@ -1,10 +1,14 @@
 package agent_test
 
 import (
+	"fmt"
+	"runtime"
 	"strconv"
 	"testing"
+	"time"
 
 	"zinniasill"
+	"zinniasill/core/agent"
 	"zinniasill/core/message"
 )
 
@@ -22,3 +26,45 @@
 		f.runs, f.out = f.runs[:0], f.out[:0]
 	}
 }
+
+// BenchmarkKept reports the heap that an agent keeps for each one-task start whose
+// result is acknowledged, with its part of the claims: three registers in the epoch
+// of the claim. Outputs are empty, since they have a budget of their own.
+func BenchmarkKept(b *testing.B) {
+	const records = 50_000
+	for b.Loop() {
+		f := newFixture(1, func(cfg *agent.Config) { cfg.RecordLimit = 1 << 30 })
+		before := liveHeap()
+		for i := range records {
+			client := uuid("a", i)
+			f.receive(owner, offer(client, 1, ref(0, 1)))
+			f.finish(f.runs[0], zinniasill.Outcome{OK: true})
+			f.receive(owner, message.ResultAck{Key: key(client), Term: 1, Tasks: []message.TaskRef{ref(0, 1)}})
+			for _, other := range []string{"b", "c", "d"} {
+				register := message.Register{Key: key(uuid(other, i)), Term: 1, Epoch: 5}
+				f.receive(owner, message.ClaimFast{Register: register, Value: message.Claim{
+					Owner: owner, Digest: zinniasill.Digest{byte(i)}, Sequence: uint64(i),
+					Candidates: []zinniasill.Node{{ID: "agent-" + zinniasill.NodeID(strconv.Itoa(i%1400)), Incarnation: 1}, self, spare},
+				}})
+			}
+			f.runs, f.out = f.runs[:0], f.out[:0]
+		}
+		f.tick(time.Second)
+		b.ReportMetric(float64(liveHeap()-before)/records, "B/start")
+		runtime.KeepAlive(f)
+	}
+}
+
+// spare is the last candidate of the claims.
+var spare = zinniasill.Node{ID: "agent-9", Incarnation: 9}
+
+// uuid returns a client key as long as a UUID.
+func uuid(kind string, i int) string { return fmt.Sprintf("%s%035d", kind, i) }
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/core/agent/handover.go
+++ b/core/agent/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/chart"
 	"zinniasill/core/claim"
 	"zinniasill/core/message"
@@ -53,11 +54,12 @@
 	a.failRunning(now)
 	a.frozen = true
 	state := State{Claims: a.acceptor.Dump()}
-	jobs := slices.SortedFunc(maps.Values(a.jobs), func(x, y *job) int {
+	jobs := a.allJobs()
+	slices.SortFunc(jobs, func(x, y *job) int {
 		return compareTasks(&task{job: x}, &task{job: y})
 	})
 	for _, j := range jobs {
-		state.Jobs = append(state.Jobs, dumpJob(j))
+		state.Jobs = append(state.Jobs, a.dumpJob(j))
 	}
 	dump := Handover{Agents: []State{state}}
 	for _, h := range a.hosted {
@@ -66,12 +68,22 @@
 	return dump
 }
 
-func dumpJob(j *job) JobState {
+// allJobs returns each job, whether it has ended or not.
+func (a *Agent) allJobs() []*job {
+	jobs := slices.Collect(maps.Values(a.jobs))
+	a.ended.All(func(epoch zinniasill.Epoch, key, value []byte) {
+		jobs = append(jobs, a.decode(archive.ParseKey(key), epoch, value))
+	})
+	return jobs
+}
+
+func (a *Agent) dumpJob(j *job) JobState {
 	state := JobState{Key: j.key, Epoch: j.epoch, Term: j.term, Owner: j.owner}
 	for _, t := range sortedTasks(j) {
+		outcome, evicted := a.outcome(t)
 		state.Tasks = append(state.Tasks, TaskState{
 			Index: t.index, Attempt: t.attempt, Term: t.term, State: t.state, Reason: t.reason,
-			Outcome: t.outcome, Evicted: t.evicted, Unacked: t.unacked,
+			Outcome: outcome, Evicted: evicted, Unacked: t.unacked,
 		})
 	}
 	return state
@@ -122,11 +134,14 @@
 	h := New(cfg)
 	h.leaving = true
 	h.setNow(now)
+	h.refusing = true
 	h.acceptor = claim.LoadAcceptor(state.Claims)
+	h.acceptor.Limit(a.isFull)
 	h.oldest = state.Claims.Oldest
 	for _, dumped := range state.Jobs {
 		h.loadJob(dumped)
 	}
+	h.archiveEnded()
 	return h
 }
 
@@ -136,7 +151,8 @@
 		tasks: make(map[zinniasill.TaskIndex]*task, len(dumped.Tasks)),
 	}
 	a.jobs[j.key] = j
-	a.epochs[j.epoch] = append(a.epochs[j.epoch], j)
+	a.live += len(dumped.Tasks)
+	a.touch(j)
 	for _, d := range dumped.Tasks {
 		t := &task{
 			job: j, index: d.Index, attempt: d.Attempt, term: d.Term, state: d.State, reason: d.Reason,
--- a/core/agent/offer.go
+++ b/core/agent/offer.go
@@ -11,17 +11,22 @@
 // admit returns the job that a message of its owner is about, and creates its
 // record if needed. It returns nil when the message must not be answered: it is
 // not from the owner of its term, or the record of a start may have been dropped
-// with its epoch, so that no answer would be true.
+// with its epoch, so that no answer would be true. A job without room is not kept:
+// nothing of it has started here or ever will.
 func (a *Agent) admit(from zinniasill.Node, key zinniasill.Key, term zinniasill.Term, epoch zinniasill.Epoch) *job {
-	j := a.jobs[key]
+	j := a.find(key)
 	if j == nil {
 		if epoch < a.oldest {
 			a.count(CounterExpired, "")
 			return nil
 		}
 		j = &job{key: key, epoch: epoch, term: term, owner: from, tasks: map[zinniasill.TaskIndex]*task{}}
+		if !a.hasRoom(epoch) {
+			j.full = true
+			return j
+		}
 		a.jobs[key] = j
-		a.epochs[epoch] = append(a.epochs[epoch], j)
+		a.touch(j)
 	}
 	if term > j.term {
 		a.adopt(j, from, term)
@@ -74,6 +79,9 @@
 	t.payload = item.Payload
 	t.expected = o.ExpectedRunTime
 	reason := a.refusal(now)
+	if reason == "" && j.full {
+		reason = zinniasill.ReasonRecordsFull
+	}
 	if reason == "" && o.Kind != "" && !slices.Contains(a.kinds, o.Kind) {
 		reason = zinniasill.ReasonNoEndpoint
 	}
@@ -100,6 +108,9 @@
 	case t == nil:
 		t = &task{job: j, index: ref.Index, state: taskChart.Initial()}
 		j.tasks[ref.Index] = t
+		if !j.full {
+			a.live++
+		}
 	case t.started() || !t.olderThan(term, ref.Attempt):
 		return nil
 	default:
@@ -142,7 +153,7 @@
 }
 
 func (a *Agent) fence(from zinniasill.Node, f message.Fence) {
-	if a.jobs[f.Key] == nil && f.Epoch < a.oldest {
+	if a.find(f.Key) == nil && f.Epoch < a.oldest {
 		a.send(from, message.FenceReply{Key: f.Key, Term: f.Term, Load: a.load(), Expired: true})
 		return
 	}
--- a/core/agent/record_test.go
+++ b/core/agent/record_test.go
@@ -100,6 +100,58 @@
 	}
 }
 
+// TestRecordLimit guards against a forgotten record, against memory without a bound,
+// and against a refusal at the limit that a late copy of the offer undoes.
+func TestRecordLimit(t *testing.T) {
+	f := newFixture(1, func(cfg *agent.Config) { cfg.RecordLimit = 700 })
+	f.lease.catalog.Epochs = []catalog.EpochEntry{{Number: 4}, {Number: 5}}
+	f.receive(owner, offer("kept", 1, ref(0, 1)))
+	f.finish(f.runs[0], zinniasill.Outcome{OK: true, Output: []byte("output")})
+	f.receive(owner, message.ResultAck{Key: key("kept"), Term: 1, Tasks: []message.TaskRef{ref(0, 1)}})
+	vote := message.ClaimFast{Register: message.Register{Key: key("kept"), Term: 1, Epoch: 4}, Value: message.Claim{Owner: owner}}
+	f.receive(owner, vote)
+	if f.agent.Records() < 700 {
+		t.Fatalf("the records take %d B", f.agent.Records())
+	}
+	f.out = nil
+	f.receive(owner, offer("refused", 1, ref(0, 1)))
+	f.receive(owner, offer("kept", 1, ref(0, 2)))
+	replies := take[message.OfferReply](f)
+	if status := replies[0].Tasks[0]; status.State != message.TaskClosed || status.Reason != zinniasill.ReasonRecordsFull {
+		t.Errorf("offer at the limit: %+v", status)
+	}
+	if status := replies[1].Tasks[0]; status.State != message.TaskFinished || string(status.Outcome.Output) != "output" {
+		t.Errorf("late copy of an offer: %+v", status)
+	}
+	f.receive(other, message.Fence{Key: key("refused"), Term: 2, Epoch: 5})
+	f.receive(other, message.Fence{Key: key("kept"), Term: 2, Epoch: 5})
+	fences := take[message.FenceReply](f)
+	if len(fences) != 2 || fences[0].Fenced != 2 || len(fences[0].Tasks) != 0 || len(fences[1].Tasks) != 1 {
+		t.Errorf("fences at the limit: %+v", fences)
+	}
+	f.receive(owner, vote)
+	f.receive(owner, message.ClaimPrepare{Register: vote.Register, Ballot: message.Ballot{Round: 1}})
+	vote.Register.Key = key("refused")
+	f.receive(owner, vote)
+	f.receive(owner, message.ClaimRead{Register: vote.Register})
+	claims := take[message.ClaimReply](f)
+	if !claims[0].OK || !claims[1].OK || !claims[2].Full || claims[2].OK || claims[3].Full || claims[3].HasValue {
+		t.Errorf("claims at the limit: %+v", claims)
+	}
+	f.lease.catalog.Epochs = []catalog.EpochEntry{{Number: 5}, {Number: 6}}
+	f.tick(time.Second)
+	f.receive(owner, offer("refused", 1, ref(0, 1)))
+	if len(f.runs) != 1 {
+		t.Error("the late copy of a refused offer starts its task")
+	}
+	later := offer("new", 1, ref(0, 1))
+	later.Epoch = 6
+	f.receive(owner, later)
+	if len(f.runs) != 2 {
+		t.Errorf("no start after the records of an epoch were dropped: %+v", f.out)
+	}
+}
+
 // TestEpochExpiry guards against a start whose record may have been dropped, and
 // against records that are dropped while their task runs.
 func TestEpochExpiry(t *testing.T) {
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -39,12 +39,12 @@
 		key := r.job.key
 		switch r.kind {
 		case replyOffer:
-			a.send(r.to, message.OfferReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
+			a.send(r.to, message.OfferReply{Key: key, Term: r.term, Tasks: a.statuses(r), Load: a.load()})
 		case replyWithdraw:
-			a.send(r.to, message.WithdrawReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
+			a.send(r.to, message.WithdrawReply{Key: key, Term: r.term, Tasks: a.statuses(r), Load: a.load()})
 		case replyFence:
 			a.send(r.to, message.FenceReply{
-				Key: key, Term: r.term, Fenced: r.job.term, Tasks: startedTasks(r.job), Load: a.load(),
+				Key: key, Term: r.term, Fenced: r.job.term, Tasks: a.startedTasks(r.job), Load: a.load(),
 			})
 		}
 	}
@@ -52,13 +52,13 @@
 	a.replies = a.replies[:0]
 }
 
-func (r reply) statuses() []message.TaskStatus {
+func (a *Agent) statuses(r reply) []message.TaskStatus {
 	statuses := make([]message.TaskStatus, len(r.refs))
 	for i, ref := range r.refs {
 		t := r.job.tasks[ref.Index]
 		switch {
 		case t != nil:
-			statuses[i] = t.status(r.term, ref)
+			statuses[i] = a.status(t, r.term, ref)
 		case r.term < r.job.term:
 			statuses[i] = message.TaskStatus{Ref: ref, State: message.TaskClosed, Reason: zinniasill.ReasonSuperseded}
 		default:
@@ -68,11 +68,11 @@
 	return statuses
 }
 
-func startedTasks(j *job) []message.TaskStatus {
+func (a *Agent) startedTasks(j *job) []message.TaskStatus {
 	var statuses []message.TaskStatus
 	for _, t := range sortedTasks(j) {
 		if t.started() {
-			statuses = append(statuses, t.status(t.term, t.ref()))
+			statuses = append(statuses, a.status(t, t.term, t.ref()))
 		}
 	}
 	return statuses
@@ -107,7 +107,7 @@
 }
 
 func (a *Agent) acknowledge(from zinniasill.Node, ack message.ResultAck) {
-	j := a.jobs[ack.Key]
+	j := a.find(ack.Key)
 	if j == nil || j.owner != from || j.term != ack.Term {
 		return
 	}
@@ -139,7 +139,7 @@
 	statuses := make([]message.TaskStatus, 0, len(tasks))
 	for _, t := range tasks {
 		if t.unacked {
-			statuses = append(statuses, t.status(t.term, t.ref()))
+			statuses = append(statuses, a.status(t, t.term, t.ref()))
 		}
 	}
 	if len(statuses) > 0 {
@@ -151,6 +151,7 @@
 	a.reporting = slices.DeleteFunc(a.reporting, func(j *job) bool {
 		if len(j.unacked) == 0 {
 			j.reporting = false
+			a.touch(j)
 			return true
 		}
 		if !now.Before(j.reportAt) && len(j.fresh) == 0 {
--- a/core/agent/run.go
+++ b/core/agent/run.go
@@ -65,7 +65,7 @@
 // grant starts fetched tasks. Only a grant that starts nothing is answered: the
 // result answers the others.
 func (a *Agent) grant(now time.Time, from zinniasill.Node, g message.Grant) {
-	j := a.jobs[g.Key]
+	j := a.find(g.Key)
 	if j == nil {
 		a.count(CounterExpired, "")
 		return
@@ -142,7 +142,7 @@
 }
 
 func (a *Agent) runOf(run zinniasill.Task) *task {
-	j := a.jobs[run.Key]
+	j := a.find(run.Key)
 	if j == nil {
 		return nil
 	}
@@ -200,17 +200,14 @@
 
 // keepOutput holds the kept outputs within the budget; the oldest go first.
 func (a *Agent) keepOutput(t *task) {
-	if len(t.outcome.Output) == 0 {
+	output := t.outcome.Output
+	t.outcome.Output = nil
+	if len(output) == 0 {
 		return
 	}
-	a.outputs = append(a.outputs, t)
-	a.outputBytes += len(t.outcome.Output)
-	for a.outputBytes > a.cfg.OutputBudget {
-		oldest := a.outputs[0]
-		a.outputs = a.outputs[1:]
-		a.outputBytes -= len(oldest.outcome.Output)
-		oldest.outcome.Output = nil
-		oldest.evicted = true
+	id, evicted := a.outputs.Add(t.job.epoch, output, len(output))
+	t.output = id
+	for range evicted {
 		a.count(CounterEvicted, "")
 	}
 }
@@ -219,38 +216,24 @@
 // A job with a task that waits or runs is kept until that has ended.
 func (a *Agent) dropExpired() {
 	epochs := a.cfg.Lease.Catalog().Epochs
-	if len(epochs) == 0 {
+	if len(epochs) == 0 || epochs[0].Number <= a.oldest && !a.expiring {
 		return
 	}
 	a.oldest = max(a.oldest, epochs[0].Number)
 	a.acceptor.SetOldest(a.oldest)
-	dropped := false
-	for epoch, jobs := range a.epochs {
-		if epoch >= a.oldest {
-			continue
-		}
-		kept := slices.DeleteFunc(jobs, func(j *job) bool { return a.drop(j) })
-		dropped = true
-		a.epochs[epoch] = kept
-		if len(kept) == 0 {
-			delete(a.epochs, epoch)
-		}
-	}
-	if dropped {
-		a.outputs = slices.DeleteFunc(a.outputs, func(t *task) bool { return a.jobs[t.job.key] != t.job })
-	}
-}
-
-func (a *Agent) drop(j *job) bool {
-	for _, t := range j.tasks {
-		if !t.ended() && t.state != stateClosed {
-			return false
+	a.ended.DropBefore(a.oldest)
+	a.expiring = false
+	needed := a.oldest
+	for _, j := range a.jobs {
+		switch {
+		case j.epoch >= a.oldest:
+		case j.over():
+			j.unacked = nil
+			a.forget(j)
+		default:
+			a.expiring = true
+			needed = min(needed, j.epoch)
 		}
 	}
-	for _, t := range j.tasks {
-		a.outputBytes -= len(t.outcome.Output)
-	}
-	j.unacked = nil
-	delete(a.jobs, j.key)
-	return true
+	a.outputs.DropBefore(needed)
 }
--- a/core/agent/task.go
+++ b/core/agent/task.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/chart"
 	"zinniasill/core/message"
 )
@@ -56,6 +57,10 @@
 	fresh     []*task // unacked and never sent
 	reporting bool
 	reportAt  time.Time
+	// touched is set while the job is in the agent's list of touched jobs.
+	touched bool
+	// full is set when there is no room for the record. It then lasts for one message.
+	full bool
 }
 
 // task is the record of one task. State, term and attempt are of the latest
@@ -71,9 +76,11 @@
 	payload  []byte
 	expected time.Duration
 
-	granted    bool
-	unacked    bool
-	evicted    bool
+	granted bool
+	unacked bool
+	evicted bool
+	// output names the output, which the outcome here lacks.
+	output     archive.OutputID
 	outcome    zinniasill.Outcome
 	queuedAt   time.Time
 	fetchedAt  time.Time
@@ -117,17 +124,17 @@
 
 // status reports the task in answer to a message about ref of a term. An attempt
 // earlier than the latest one is closed, unless the task has started.
-func (t *task) status(term zinniasill.Term, ref message.TaskRef) message.TaskStatus {
+func (a *Agent) status(t *task, term zinniasill.Term, ref message.TaskRef) message.TaskStatus {
 	status := message.TaskStatus{Ref: ref}
 	switch {
 	case t.state == stateRunning:
 		status.State = message.TaskRunning
 	case t.ended():
 		status.State = message.TaskFinished
-		outcome := t.outcome
+		outcome, evicted := a.outcome(t)
 		status.Outcome = &outcome
 		status.Took = t.took
-		if t.evicted {
+		if evicted {
 			status.Reason = zinniasill.ReasonAnswerEvicted
 		}
 	case t.olderThan(term, ref.Attempt):
--- a/core/agent/transfer.go
+++ b/core/agent/transfer.go
@@ -189,6 +189,8 @@
 		return ack
 	case a.leaving || a.frozen:
 		return a.refuseHandover(from, ack, reasonHostLeaving)
+	case in == nil && a.isFull():
+		return a.refuseHandover(from, ack, zinniasill.ReasonRecordsFull)
 	case p.Parts == 0 || p.Parts > maxParts || p.Part >= p.Parts || len(p.Data) == 0 || len(p.Data) > partSize,
 		in != nil && len(in.parts) != int(p.Parts):
 		return a.refuseHandover(from, ack, reasonMalformed)
--- a/core/agent/transfer_test.go
+++ b/core/agent/transfer_test.go
@@ -130,26 +130,40 @@
 }
 
 // TestHandoverRefusal guards against records that go to an agent which leaves
-// itself, and against a stop that then names no other host.
+// itself or has no room for them, and against a stop that then names no other host.
 func TestHandoverRefusal(t *testing.T) {
-	p := newPair(t, 1, 10)
-	p.host.agent.Leave(p.host.now)
-	if err := p.giver.agent.HandOver(p.giver.now, hostNode); err != nil {
-		t.Fatal(err)
-	}
-	p.collect()
-	p.deliver(p.flight[0])
-	p.deliver(p.flight[1])
-	if p.giver.agent.HandoverState() != agent.HandoverRefused || len(p.host.agent.Hosts()) != 0 {
-		t.Fatalf("state is %d, hosted are %v", p.giver.agent.HandoverState(), p.host.agent.Hosts())
-	}
-	third := zinniasill.Node{ID: "agent-3", Incarnation: 1}
-	if err := p.giver.agent.HandOver(p.giver.now, third); err != nil {
-		t.Fatal(err)
+	causes := map[string]func(p *pair){
+		"leaves": func(p *pair) { p.host.agent.Leave(p.host.now) },
+		"has no room": func(p *pair) {
+			p.host = newFixture(1, func(cfg *agent.Config) { cfg.Self, cfg.RecordLimit = hostNode, 1 })
+			vote := message.ClaimFast{Register: message.Register{Key: key("a"), Term: 1, Epoch: 5}}
+			p.host.agent.Receive(p.host.now, message.Envelope{From: owner, To: hostNode, Body: vote})
+			p.host.drain()
+			p.host.out = nil
+		},
 	}
-	p.giver.drain()
-	if parts := take[message.HandoverPart](p.giver); len(parts) != 1 {
-		t.Errorf("%d parts sent to the second host", len(parts))
+	for name, refuse := range causes {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, 1, 10)
+			refuse(p)
+			if err := p.giver.agent.HandOver(p.giver.now, hostNode); err != nil {
+				t.Fatal(err)
+			}
+			p.collect()
+			p.deliver(p.flight[0])
+			p.deliver(p.flight[1])
+			if p.giver.agent.HandoverState() != agent.HandoverRefused || len(p.host.agent.Hosts()) != 0 {
+				t.Fatalf("state is %d, hosted are %v", p.giver.agent.HandoverState(), p.host.agent.Hosts())
+			}
+			third := zinniasill.Node{ID: "agent-3", Incarnation: 1}
+			if err := p.giver.agent.HandOver(p.giver.now, third); err != nil {
+				t.Fatal(err)
+			}
+			p.giver.drain()
+			if parts := take[message.HandoverPart](p.giver); len(parts) != 1 {
+				t.Errorf("%d parts sent to the second host", len(parts))
+			}
+		})
 	}
 }
 
--- a/core/claim/acceptor.go
+++ b/core/claim/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/message"
 )
 
@@ -9,15 +10,12 @@
 // (agent, incarnation); an agent that loses its memory must take a new
 // incarnation and a new Acceptor. Use NewAcceptor or LoadAcceptor.
 type Acceptor struct {
-	node   zinniasill.Node
-	oldest zinniasill.Epoch
-	epochs map[zinniasill.Epoch]map[registerKey]RegisterState
-	frozen bool
-}
-
-type registerKey struct {
-	key  zinniasill.Key
-	term zinniasill.Term
+	node      zinniasill.Node
+	oldest    zinniasill.Epoch
+	registers archive.Archive
+	nodes     archive.Nodes
+	frozen    bool
+	full      func() bool
 }
 
 // RegisterState is an acceptor's state of one register.
@@ -38,12 +36,13 @@
 
 // NewAcceptor returns an empty acceptor for a new incarnation.
 func NewAcceptor(node zinniasill.Node) *Acceptor {
-	return &Acceptor{
-		node:   node,
-		epochs: map[zinniasill.Epoch]map[registerKey]RegisterState{},
-	}
+	return &Acceptor{node: node, full: func() bool { return false }}
 }
 
+// Limit makes the acceptor vote in no further register while full is true. It goes
+// on answering for registers that it has voted in, and reads.
+func (a *Acceptor) Limit(full func() bool) { a.full = full }
+
 // LoadAcceptor returns an acceptor that continues a dumped one under its
 // identity. A dump may be loaded once only in the whole system: a second copy
 // would vote without the votes of the first.
@@ -60,13 +59,10 @@
 func (a *Acceptor) Node() zinniasill.Node { return a.node }
 
 // Len returns the number of registers.
-func (a *Acceptor) Len() int {
-	count := 0
-	for _, registers := range a.epochs {
-		count += len(registers)
-	}
-	return count
-}
+func (a *Acceptor) Len() int { return a.registers.Len() }
+
+// Bytes returns the memory that the registers take.
+func (a *Acceptor) Bytes() int { return a.registers.Bytes() }
 
 // SetOldest drops the registers of all epochs before oldest, which have left the
 // retention window. The window never moves back.
@@ -75,11 +71,7 @@
 		return
 	}
 	a.oldest = oldest
-	for epoch := range a.epochs {
-		if epoch < oldest {
-			delete(a.epochs, epoch)
-		}
-	}
+	a.registers.DropBefore(oldest)
 }
 
 // Dump freezes the acceptor and returns its state. A frozen acceptor answers
@@ -87,15 +79,17 @@
 func (a *Acceptor) Dump() State {
 	a.frozen = true
 	state := State{Node: a.node, Oldest: a.oldest}
-	for _, registers := range a.epochs {
-		for _, register := range registers {
-			state.Registers = append(state.Registers, register)
-		}
-	}
+	a.each(func(register RegisterState) { state.Registers = append(state.Registers, register) })
 	sortRegisters(state.Registers)
 	return state
 }
 
+func (a *Acceptor) each(visit func(register RegisterState)) {
+	a.registers.All(func(epoch zinniasill.Epoch, key, value []byte) {
+		visit(a.decode(parseRegister(epoch, key), value))
+	})
+}
+
 // Answer handles a claim message. The second result is false when there is no
 // answer: the body is no claim message, or the acceptor is frozen.
 func (a *Acceptor) Answer(body any) (message.ClaimReply, bool) {
@@ -123,7 +117,10 @@
 	if expired {
 		return expiredReply(request.Register, message.Ballot{})
 	}
-	if !state.HasValue && state.Promised == (message.Ballot{}) {
+	if state.empty() {
+		if a.full() {
+			return fullReply(request.Register, message.Ballot{})
+		}
 		state.HasValue = true
 		state.Value = request.Value
 		a.store(state)
@@ -141,6 +138,11 @@
 		reply.Prepare = true
 		return reply
 	}
+	if state.empty() && a.full() {
+		reply := fullReply(request.Register, request.Ballot)
+		reply.Prepare = true
+		return reply
+	}
 	ok := request.Ballot.Compare(state.Promised) >= 0
 	if ok {
 		state.Promised = request.Ballot
@@ -158,6 +160,9 @@
 	if expired {
 		return expiredReply(request.Register, request.Ballot)
 	}
+	if state.empty() && a.full() {
+		return fullReply(request.Register, request.Ballot)
+	}
 	ok := request.Ballot.Compare(state.Promised) >= 0
 	if ok {
 		state.Promised = request.Ballot
@@ -184,18 +189,20 @@
 	if register.Epoch < a.oldest {
 		return RegisterState{}, true
 	}
-	state = a.epochs[register.Epoch][registerKey{register.Key, register.Term}]
-	state.Register = register
-	return state, false
+	data, ok := a.registers.In(register.Epoch, registerKey(register))
+	if !ok {
+		return RegisterState{Register: register}, false
+	}
+	return a.decode(register, data), false
 }
 
 func (a *Acceptor) store(state RegisterState) {
-	registers := a.epochs[state.Register.Epoch]
-	if registers == nil {
-		registers = map[registerKey]RegisterState{}
-		a.epochs[state.Register.Epoch] = registers
-	}
-	registers[registerKey{state.Register.Key, state.Register.Term}] = state
+	a.registers.Put(state.Register.Epoch, registerKey(state.Register), a.encode(state))
+}
+
+// empty reports whether the acceptor has neither voted nor promised.
+func (s RegisterState) empty() bool {
+	return !s.HasValue && s.Promised == (message.Ballot{})
 }
 
 func (s RegisterState) reply(ballot message.Ballot) message.ClaimReply {
@@ -212,3 +219,7 @@
 func expiredReply(register message.Register, ballot message.Ballot) message.ClaimReply {
 	return message.ClaimReply{Register: register, Ballot: ballot, Expired: true}
 }
+
+func fullReply(register message.Register, ballot message.Ballot) message.ClaimReply {
+	return message.ClaimReply{Register: register, Ballot: ballot, Full: true}
+}
--- a/core/claim/explore_test.go
+++ b/core/claim/explore_test.go
@@ -20,8 +20,9 @@
 		"3 members, 1 crash, one of 2 proposers with a classic round": {
 			bounds{rounds: 1, crashes: 1, reader: -1}, 3, func(i int, p *Proposer) { p.rounds = 1 - i },
 		},
-		"2 members, 2 proposers, 2 classic rounds": {bounds{rounds: 2, reader: -1}, 2, nil},
-		"3 members, 1 proposer, 1 reader":          {bounds{rounds: 1, reader: 1}, 3, nil},
+		"2 members, 2 proposers, 2 classic rounds":  {bounds{rounds: 2, reader: -1}, 2, nil},
+		"3 members, 1 proposer, 1 reader":           {bounds{rounds: 1, reader: 1}, 3, nil},
+		"3 members, one without room for registers": {bounds{rounds: 1, reader: -1, handle: lastIsFull}, 3, func(i int, p *Proposer) { p.rounds = 1 - i }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -40,6 +41,12 @@
 	}
 }
 
+// lastIsFull answers for three acceptors of which the last one is at its limit.
+func lastIsFull(a *Acceptor, body any) (message.ClaimReply, bool) {
+	a.Limit(func() bool { return a.node.ID[0] == '3' })
+	return a.Answer(body)
+}
+
 // TestRegisterFaultsAreFound guards against a model check that cannot fail.
 func TestRegisterFaultsAreFound(t *testing.T) {
 	ownValue := func(promises []*message.ClaimReply, own message.Claim) message.Claim {
--- a/core/claim/model_key_test.go
+++ b/core/claim/model_key_test.go
@@ -96,7 +96,7 @@
 	}
 	out = appendSorted(out, votes)
 	for i := range p.answered {
-		out = append(out, flag(p.answered[i]))
+		out = append(out, flag(p.answered[i]), flag(p.full[i]))
 		if p.phase == phasePreparing && p.promises[i] != nil {
 			out = append(out, encodeReply(*p.promises[i])...)
 		}
--- a/core/claim/model_test.go
+++ b/core/claim/model_test.go
@@ -168,11 +168,7 @@
 
 func cloneAcceptor(a *Acceptor) *Acceptor {
 	to := NewAcceptor(a.node)
-	for _, registers := range a.epochs {
-		for _, register := range registers {
-			to.store(register)
-		}
-	}
+	a.each(to.store)
 	return to
 }
 
--- a/core/claim/proposer.go
+++ b/core/claim/proposer.go
@@ -40,6 +40,8 @@
 	StatusExpired
 	// StatusLost means that too many members are dead for a majority.
 	StatusLost
+	// StatusFull means that too many members are dead or have no room for the register.
+	StatusFull
 )
 
 // Config configures a Proposer.
@@ -95,6 +97,7 @@
 	promises []*message.ClaimReply
 	answered []bool
 	dead     []bool
+	full     []bool
 	deadline time.Time
 	resendAt time.Time
 	outbox   []message.Envelope
@@ -108,6 +111,7 @@
 		promises: make([]*message.ClaimReply, len(cfg.Group)),
 		answered: make([]bool, len(cfg.Group)),
 		dead:     make([]bool, len(cfg.Group)),
+		full:     make([]bool, len(cfg.Group)),
 	}
 	// Two proposals with the same ballot could choose two values. A node id alone
 	// would repeat after a restart and for a second proposal of one entry.
@@ -167,10 +171,17 @@
 		return
 	}
 	p.dead[i] = true
+	p.memberGone(now)
+}
+
+// memberGone goes on without a member that is dead or full.
+func (p *Proposer) memberGone(now time.Time) {
 	switch {
 	case p.phase == phaseDone:
 	case p.lost():
 		p.finish(StatusLost, message.Claim{})
+	case p.crowded():
+		p.finish(StatusFull, message.Claim{})
 	case p.phase == phaseFast:
 		p.startRound(now)
 	}
@@ -209,6 +220,11 @@
 		p.finish(StatusExpired, message.Claim{})
 		return
 	}
+	if reply.Full {
+		p.full[i] = true
+		p.memberGone(now)
+		return
+	}
 	p.highest = max(p.highest, reply.Promised.Round)
 	if p.cfg.Read {
 		p.receiveRead(i, reply)
--- a/core/claim/round.go
+++ b/core/claim/round.go
@@ -170,3 +170,14 @@
 func (p *Proposer) lost() bool {
 	return len(p.cfg.Group)-p.count(p.dead) < majority(len(p.cfg.Group))
 }
+
+// crowded reports whether the members with room for the register are no majority.
+func (p *Proposer) crowded() bool {
+	open := 0
+	for i := range p.dead {
+		if !p.dead[i] && !p.full[i] {
+			open++
+		}
+	}
+	return open < majority(len(p.cfg.Group))
+}
--- a/core/job/answer.go
+++ b/core/job/answer.go
@@ -16,7 +16,8 @@
 	switch reason {
 	case zinniasill.ReasonUnknownProfile, zinniasill.ReasonTooLarge, zinniasill.ReasonBadRequest:
 		answer.Retry = zinniasill.RetryNone
-	case zinniasill.ReasonOverload, zinniasill.ReasonQuota, zinniasill.ReasonNoEndpoint, zinniasill.ReasonDeadline:
+	case zinniasill.ReasonOverload, zinniasill.ReasonQuota, zinniasill.ReasonNoEndpoint, zinniasill.ReasonDeadline,
+		zinniasill.ReasonRecordsFull:
 		answer.RetryAfter = minRetryAfter + c.backoff(refusalBackoff)
 	default:
 	}
@@ -36,6 +37,8 @@
 		return "the team has too many tasks in flight"
 	case zinniasill.ReasonNoEndpoint:
 		return "no endpoint in service serves profile " + string(profile)
+	case zinniasill.ReasonRecordsFull:
+		return "the entry keeps no more records of jobs"
 	case zinniasill.ReasonLeaseExpired:
 		return "the entry is cut off from control"
 	case zinniasill.ReasonShuttingDown:
@@ -91,6 +94,12 @@
 	}
 }
 
+// claimsFull is the answer when the key can't be decided for want of room. A member
+// of the group may hold the claim already, so that another entry may run the job.
+func claimsFull() message.Answer {
+	return unsettled(zinniasill.ReasonRecordsFull, "the agents that hold the claim keep no more records")
+}
+
 // refusedForGood is the answer of a key whose register holds a final refusal.
 func refusedForGood(reason zinniasill.Reason) message.Answer {
 	return message.Answer{
--- a/core/job/claiming.go
+++ b/core/job/claiming.go
@@ -115,6 +115,9 @@
 				c.settle(now, r, recordLost(r.profile))
 				return
 			}
+		case claim.StatusFull:
+			c.settle(now, r, claimsFull())
+			return
 		case claim.StatusExpired:
 			if r.stamp != 0 && !stamped {
 				c.settle(now, r, keyExpired(r.profile))
--- a/core/job/term.go
+++ b/core/job/term.go
@@ -106,7 +106,7 @@
 	value, _ := r.proposer.Result()
 	switch r.proposer.Status() {
 	case claim.StatusPending:
-	case claim.StatusLost, claim.StatusExpired:
+	case claim.StatusLost, claim.StatusExpired, claim.StatusFull:
 		c.noRegister(now, r, r.proposer.Status())
 	case claim.StatusEmpty:
 		r.proposer = nil
@@ -132,6 +132,8 @@
 		r.registerGone = true
 	case r.state == stateClosing:
 		c.settle(now, r, c.failed(r, r.closing, zinniasill.RanUnknown, r.closeMessage))
+	case status == claim.StatusFull:
+		c.settle(now, r, claimsFull())
 	case status == claim.StatusLost:
 		c.settle(now, r, recordLost(r.profile))
 	default:
--- a/core/message/claim.go
+++ b/core/message/claim.go
@@ -90,6 +90,9 @@
 	Value    Claim  `cbor:"8,keyasint"`
 	// Expired is true when the register's epoch has left the retention window.
 	Expired bool `cbor:"9,keyasint,omitempty"`
+	// Full is true when the acceptor has no room for another register. It has then
+	// neither promised nor accepted anything.
+	Full bool `cbor:"10,keyasint,omitempty"`
 }
 
 // ClaimBatch carries several claim messages to one agent. A job asks the registers
--- a/reason.go
+++ b/reason.go
@@ -25,6 +25,7 @@
 	ReasonSuperseded     Reason = "superseded"
 	ReasonBusy           Reason = "busy"
 	ReasonAnswerEvicted  Reason = "answer-evicted"
+	ReasonRecordsFull    Reason = "records-full"
 	ReasonDomainOut      Reason = "domain-out"
 	ReasonLeaving        Reason = "leaving"
 	ReasonWithdrawn      Reason = "withdrawn"
