Encode answered jobs at the entry, and refuse new ones at a limit

Beyond 100,000 records it forgot the oldest, also inside its window, so that resubmissions of these had to be taken over through the registers.

Change: an answered job is encoded in an archive like that of the agent, with digest, term, profile and answer; outputs are in a list by number. It is decoded for a resubmission, an attached entry, a status request and a late report. A job whose key may be submitted again stays as it was, since its next term needs the earlier claims. It keeps no record of such a refusal. A tombstone that closes an earlier epoch for a key carries no digest any more, as nothing reads it there.

Tests: the limit by number of records is gone, and with it the case of TestKeptAnswers that made an entry forget a record by that limit. The test now drops the records itself and checks the same answer; the random runs, which drew that limit, drop records as a step of their own and draw limits in bytes for entries and agents.

--- a/core/agent/bench_test.go
+++ b/core/agent/bench_test.go
@@ -28,31 +28,44 @@
 }
 
 // BenchmarkKept reports the heap that an agent keeps for each one-task start whose
-// result is acknowledged, with its part of the claims: three registers in the epoch
-// of the claim. Outputs are empty, since they have a budget of their own.
+// result is acknowledged, with its part of the claims: three registers with a claim
+// and, for each earlier epoch of the window, three with a tombstone. Outputs are
+// empty, since they have a budget of their own.
 func BenchmarkKept(b *testing.B) {
 	const records = 50_000
-	for b.Loop() {
-		f := newFixture(1, func(cfg *agent.Config) { cfg.RecordLimit = 1 << 30 })
-		before := liveHeap()
-		for i := range records {
-			client := uuid("a", i)
-			f.receive(owner, offer(client, 1, ref(0, 1)))
-			f.finish(f.runs[0], zinniasill.Outcome{OK: true})
-			f.receive(owner, message.ResultAck{Key: key(client), Term: 1, Tasks: []message.TaskRef{ref(0, 1)}})
-			for _, other := range []string{"b", "c", "d"} {
-				register := message.Register{Key: key(uuid(other, i)), Term: 1, Epoch: 5}
-				f.receive(owner, message.ClaimFast{Register: register, Value: message.Claim{
-					Owner: owner, Digest: zinniasill.Digest{byte(i)}, Sequence: uint64(i),
-					Candidates: []zinniasill.Node{{ID: "agent-" + zinniasill.NodeID(strconv.Itoa(i%1400)), Incarnation: 1}, self, spare},
-				}})
+	for _, epochs := range []int{1, 3, 16} {
+		b.Run(strconv.Itoa(epochs)+"-epochs", func(b *testing.B) {
+			for b.Loop() {
+				f := newFixture(1, func(cfg *agent.Config) { cfg.RecordLimit = 1 << 30 })
+				before := liveHeap()
+				for i := range records {
+					keepStart(f, i, epochs)
+				}
+				f.tick(time.Second)
+				b.ReportMetric(float64(liveHeap()-before)/records, "B/start")
+				b.ReportMetric(float64(f.agent.Records())/records, "counted-B/start")
 			}
-			f.runs, f.out = f.runs[:0], f.out[:0]
+		})
+	}
+}
+
+func keepStart(f *fixture, i, epochs int) {
+	client := uuid("a", i)
+	f.receive(owner, offer(client, 1, ref(0, 1)))
+	f.finish(f.runs[0], zinniasill.Outcome{OK: true})
+	f.receive(owner, message.ResultAck{Key: key(client), Term: 1, Tasks: []message.TaskRef{ref(0, 1)}})
+	for _, other := range []string{"b", "c", "d"} {
+		value := message.Claim{
+			Owner: owner, Digest: zinniasill.Digest{byte(i)}, Sequence: uint64(i),
+			Candidates: []zinniasill.Node{{ID: zinniasill.NodeID("agent-" + strconv.Itoa(i%1400)), Incarnation: 1}, self, spare},
+		}
+		for epoch := range epochs {
+			register := message.Register{Key: key(uuid(other, i)), Term: 1, Epoch: zinniasill.Epoch(5 + epoch)}
+			f.receive(owner, message.ClaimFast{Register: register, Value: value})
+			value = message.Claim{Owner: owner, Tombstone: true}
 		}
-		f.tick(time.Second)
-		b.ReportMetric(float64(liveHeap()-before)/records, "B/start")
-		runtime.KeepAlive(f)
 	}
+	f.runs, f.out = f.runs[:0], f.out[:0]
 }
 
 // spare is the last candidate of the claims.
--- a/core/claim/register.go
+++ b/core/claim/register.go
@@ -15,6 +15,7 @@
 	bitAccepted
 	bitTombstone
 	bitRefused
+	bitDigest
 )
 
 // registerKey is the key of a register in the archive of an acceptor.
@@ -43,6 +44,7 @@
 	set(bitAccepted, s.Accepted != (message.Ballot{}))
 	set(bitTombstone, s.Value.Tombstone)
 	set(bitRefused, s.Value.Refused != "")
+	set(bitDigest, s.Value.Digest != (zinniasill.Digest{}))
 	data := []byte{bits}
 	for _, ballot := range []message.Ballot{s.Promised, s.Accepted} {
 		if ballot != (message.Ballot{}) {
@@ -54,7 +56,9 @@
 		return data
 	}
 	data = binary.AppendUvarint(data, a.nodes.Number(s.Value.Owner))
-	data = append(data, s.Value.Digest[:]...)
+	if s.Value.Digest != (zinniasill.Digest{}) {
+		data = append(data, s.Value.Digest[:]...)
+	}
 	data = binary.AppendUvarint(data, s.Value.Sequence)
 	if s.Value.Refused != "" {
 		data = archive.AppendString(data, string(s.Value.Refused))
@@ -80,7 +84,9 @@
 		return s
 	}
 	s.Value.Owner = a.nodes.Node(r.Uint())
-	copy(s.Value.Digest[:], r.Take(len(s.Value.Digest)))
+	if bits&bitDigest != 0 {
+		copy(s.Value.Digest[:], r.Take(len(s.Value.Digest)))
+	}
 	s.Value.Sequence = r.Uint()
 	s.Value.Tombstone = bits&bitTombstone != 0
 	if bits&bitRefused != 0 {
--- a/core/job/attach.go
+++ b/core/job/attach.go
@@ -63,7 +63,7 @@
 
 // attach answers another entry that found a claim of this one.
 func (c *Coordinator) attach(from zinniasill.Node, body message.Attach) {
-	r := c.jobs[body.Key]
+	r := c.find(body.Key)
 	if r == nil || r.state == stateRefusing {
 		c.send(from, message.AttachReply{Key: body.Key})
 		return
@@ -75,7 +75,7 @@
 }
 
 func (c *Coordinator) attachReply(now time.Time, from zinniasill.Node, body message.AttachReply) {
-	r := c.jobs[body.Key]
+	r := c.find(body.Key)
 	if r == nil || r.state != stateAttached || r.owner != from {
 		return
 	}
--- a/core/job/bench_test.go
+++ b/core/job/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -79,3 +80,59 @@
 		})
 	}
 }
+
+// BenchmarkKept reports the heap that an entry keeps for each one-task job whose
+// answer has been given and whose deadline has passed. The registers are kept by
+// the agents and are not part of it.
+func BenchmarkKept(b *testing.B) {
+	const records = 50_000
+	for b.Loop() {
+		w := newWorld(1, 10, 10, 1)
+		entry := w.entries[0]
+		before := liveHeap()
+		for i := range records {
+			sub := w.submission(entry, fmt.Sprintf("%036d", i), "proof", 1)
+			entry.Submit(w.now, RequestID(i), sub)
+			acceptAll(w, entry)
+			if i%1000 == 0 {
+				w.now = w.now.Add(10 * time.Millisecond)
+				entry.Tick(w.now)
+			}
+			for _, reply := range entry.Replies() {
+				if !reply.Answer.Complete {
+					b.Fatalf("answer %+v", reply.Answer)
+				}
+			}
+		}
+		w.now = w.now.Add(time.Minute)
+		entry.Tick(w.now)
+		b.ReportMetric(float64(liveHeap()-before)/records, "B/job")
+		b.ReportMetric(float64(entry.Records())/records, "counted-B/job")
+	}
+}
+
+// acceptAll answers claims without keeping a register, and offers with results.
+func acceptAll(w *world, entry *worldEntry) {
+	for out := entry.Outbox(); len(out) > 0; out = entry.Outbox() {
+		for _, env := range out {
+			var body any
+			switch request := env.Body.(type) {
+			case message.Offer:
+				body = benchResult(request)
+			case message.ClaimFast:
+				body = message.ClaimReply{Register: request.Register, HasValue: true, OK: true, Value: request.Value}
+			default:
+				continue
+			}
+			entry.Receive(w.now, message.Envelope{From: env.To, To: env.From, Body: body})
+		}
+	}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/core/job/chaos_test.go
+++ b/core/job/chaos_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/catalog"
 )
 
@@ -58,6 +60,8 @@
 		}
 	case pick < 88:
 		c.entries[c.draw(len(c.entries), "entry")].lease.version = len(c.versions) - 1
+	case pick < 89:
+		c.forget(c.entries[c.draw(len(c.entries), "entry")])
 	case pick < 93:
 		c.operate()
 	default:
@@ -96,6 +100,13 @@
 	c.submit(entry, fmt.Sprintf("job-%d", number), profile, 1+number)
 }
 
+// forget drops what an entry keeps of its answered jobs. Only the registers show
+// then that they ran.
+func (w *world) forget(entry *worldEntry) {
+	entry.ended = archive.Archive{}
+	maps.DeleteFunc(entry.jobs, func(_ zinniasill.Key, r *record) bool { return r.answer != nil })
+}
+
 // operate does what operators and control do.
 func (c *chaos) operate() {
 	switch c.draw(6, "operation") {
@@ -186,7 +197,7 @@
 }
 
 func runChaosWith(t *rapid.T, fault func(r *rules), prepare func(w *world)) *world {
-	limits := Limits{Records: rapid.IntRange(0, 2).Draw(t, "records"), AnswerBytes: rapid.SampledFrom([]int{0, 200}).Draw(t, "bytes")}
+	limits := Limits{RecordBytes: rapid.SampledFrom([]int{0, 700, 2500}).Draw(t, "records"), AnswerBytes: rapid.SampledFrom([]int{0, 200}).Draw(t, "bytes")}
 	agents := rapid.SampledFrom([]int{1, 3, 3, 5}).Draw(t, "agents")
 	slots := rapid.SampledFrom([]int{1, 1, 2}).Draw(t, "slots")
 	w := newLimitedWorld(3, agents, slots, rapid.Uint64().Draw(t, "seed"), limits)
--- a/core/job/claiming.go
+++ b/core/job/claiming.go
@@ -60,7 +60,9 @@
 	case last:
 		cfg.Value = r.claim
 	default:
-		cfg.Value = claim.Tombstone(c.cfg.Self, r.digest, "")
+		// It closes the epoch for this key whatever the body. Without a digest each of
+		// these registers, one for each epoch and member, takes 32 B less.
+		cfg.Value = claim.Tombstone(c.cfg.Self, zinniasill.Digest{}, "")
 	}
 	proposer := c.propose(now, cfg, group)
 	r.lookups = append(r.lookups, lookup{epoch: epoch.Number, proposer: proposer})
@@ -320,10 +322,5 @@
 	if !expired {
 		return
 	}
-	for key, r := range c.jobs {
-		if r.answer != nil && r.epoch < oldest {
-			c.kept.remove(r)
-			delete(c.jobs, key)
-		}
-	}
+	c.dropBefore(oldest)
 }
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -8,6 +8,7 @@
 
 	"zinniasill"
 	"zinniasill/core/admission"
+	"zinniasill/core/archive"
 	"zinniasill/core/catalog"
 	"zinniasill/core/claim"
 	"zinniasill/core/message"
@@ -81,9 +82,9 @@
 type Limits struct {
 	// AnswerBytes bounds the outputs in kept answers, 32 MiB by default.
 	AnswerBytes int
-	// Records bounds the kept records of answered jobs, 100,000 by default. They take
-	// about 0.5 KB each.
-	Records int
+	// RecordBytes bounds the records of jobs, 16 MiB by default. From there on new jobs
+	// are refused; a record is never dropped before its epoch.
+	RecordBytes int
 	// Candidates bounds the agents that one job is spread over, 256 by default.
 	Candidates int
 }
@@ -100,17 +101,20 @@
 
 // Coordinator is the state machine of all jobs at one entry. Use New.
 type Coordinator struct {
-	cfg       Config
-	rules     rules
-	views     *placement.Views
-	times     *admission.RunTimes
-	quotas    *admission.Quotas
-	budget    *admission.Budget
-	groups    map[zinniasill.Epoch]*claim.Groups
+	cfg    Config
+	rules  rules
+	views  *placement.Views
+	times  *admission.RunTimes
+	quotas *admission.Quotas
+	budget *admission.Budget
+	groups map[zinniasill.Epoch]*claim.Groups
+	// jobs are those without an answer or whose key may be submitted again, and ended
+	// the encoded others.
 	jobs      map[zinniasill.Key]*record
+	ended     archive.Archive
+	outputs   archive.Outputs[[][]byte]
 	waiting   map[RequestID]*record
 	timers    timers
-	kept      kept
 	outbox    []message.Envelope
 	replies   []Reply
 	inquiries []*inquiry
@@ -125,8 +129,8 @@
 
 // New returns a coordinator without jobs.
 func New(cfg Config) *Coordinator {
-	cfg.Limits.AnswerBytes = cmp.Or(cfg.Limits.AnswerBytes, 32<<20)
-	cfg.Limits.Records = cmp.Or(cfg.Limits.Records, 100_000)
+	cfg.Limits.AnswerBytes = cmp.Or(cfg.Limits.AnswerBytes, defaultAnswerLimit)
+	cfg.Limits.RecordBytes = cmp.Or(cfg.Limits.RecordBytes, DefaultRecordLimit)
 	cfg.Limits.Candidates = cmp.Or(cfg.Limits.Candidates, 256)
 	c := &Coordinator{cfg: cfg, rules: defaultRules()}
 	c.reset()
@@ -142,7 +146,8 @@
 	c.jobs = map[zinniasill.Key]*record{}
 	c.waiting = map[RequestID]*record{}
 	c.timers = nil
-	c.kept = kept{bytesLimit: c.cfg.Limits.AnswerBytes, recordsLimit: c.cfg.Limits.Records}
+	c.ended = archive.Archive{}
+	c.outputs = archive.Outputs[[][]byte]{Budget: c.cfg.Limits.AnswerBytes}
 	c.revision = 0
 }
 
--- a/core/job/real_test.go
+++ b/core/job/real_test.go
@@ -19,12 +19,12 @@
 	running []zinniasill.Task
 }
 
-// useRealAgents replaces the naive agents.
-func (w *world) useRealAgents() {
+// useRealAgents replaces the naive agents. A limit of 0 is the default.
+func (w *world) useRealAgents(recordLimit int) {
 	for _, fake := range w.agents {
 		lease := &fixedLease{valid: true, world: w}
 		entry := w.versions[0].Nodes[fake.node.ID]
-		machine := agent.New(agent.Config{Self: fake.node, Domain: entry.Domain, Lease: lease, Counters: w.counts})
+		machine := agent.New(agent.Config{Self: fake.node, Domain: entry.Domain, Lease: lease, Counters: w.counts, RecordLimit: recordLimit})
 		machine.SetEndpoint(w.now, entry.Slots, entry.Kinds, true)
 		fake.real = &realAgent{Agent: machine, world: w, lease: lease}
 	}
@@ -78,7 +78,8 @@
 // differently. The naive agent can't show that.
 func TestGuaranteesWithRealAgents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := runChaosWith(t, nil, (*world).useRealAgents)
+		limit := rapid.SampledFrom([]int{0, 0, 800, 3000}).Draw(t, "agent's records")
+		w := runChaosWith(t, nil, func(w *world) { w.useRealAgents(limit) })
 		for _, failure := range w.failures {
 			t.Error(failure)
 		}
@@ -101,7 +102,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(1, c.agents, c.slots, 1)
-			w.useRealAgents()
+			w.useRealAgents(0)
 			w.submit(w.entries[0], "a", "proof", c.tasks)
 			for range 100 {
 				w.settleAll(10 * time.Millisecond)
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -47,7 +47,7 @@
 	ran     zinniasill.Ran
 }
 
-// record is one job at one entry. It is kept after the answer, without its work.
+// record is one job at one entry. After the answer it is kept without its work.
 type record struct {
 	key zinniasill.Key
 	// ran is the profile's name. Run times are learned from tasks that end after
@@ -72,8 +72,6 @@
 	answer *message.Answer
 	// reopens is set when the same key may be submitted again after the answer.
 	reopens bool
-	// forgotten is set when the record is no longer counted.
-	forgotten bool
 	*work
 }
 
--- a/core/job/rolling_test.go
+++ b/core/job/rolling_test.go
@@ -78,7 +78,7 @@
 		agents := rapid.IntRange(3, 6).Draw(t, "agents")
 		tasks := rapid.IntRange(1, 8).Draw(t, "tasks")
 		w := newWorld(2, agents, 2, rapid.Uint64().Draw(t, "seed"))
-		w.useRealAgents()
+		w.useRealAgents(0)
 		// The owner dies before, during or after the job.
 		w.submit(w.entries[0], "a", "pull", tasks)
 		for range rapid.IntRange(0, 60).Draw(t, "before") {
--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -174,7 +174,9 @@
 		}
 	}
 	c.answerWaiters(r, answer)
-	if !r.owned {
+	// An entry without room for records keeps none of its refusals. The register still
+	// holds a final one.
+	if !r.owned || r.refusal == zinniasill.ReasonRecordsFull {
 		c.drop(now, r)
 		return
 	}
@@ -183,27 +185,9 @@
 	r.answer = &answer
 	r.reopens = answer.Retry == zinniasill.RetrySameKey
 	c.replayRivals(now, r)
-	if r.reopens {
-		r.work = &work{priors: r.priors}
-	} else {
-		r.work = nil
-	}
 	c.keep(r)
 }
 
-// keep bounds the kept answers. The record that a job ran outlives its outputs. A
-// record that is forgotten is found again through its register: this entry then
-// takes its own job over, and the agents tell what ran.
-func (c *Coordinator) keep(r *record) {
-	for _, evicted := range c.kept.add(r) {
-		c.cfg.Counters.Inc(CounterEvicted, "")
-		evicted.answer = answerEvicted()
-	}
-	if oldest := c.kept.surplus(); oldest != nil && c.jobs[oldest.key] == oldest && oldest.answer != nil {
-		delete(c.jobs, oldest.key)
-	}
-}
-
 // answerWaiters answers every caller that waits for the job.
 func (c *Coordinator) answerWaiters(r *record, answer message.Answer) {
 	for _, id := range r.waiters {
--- a/core/job/status.go
+++ b/core/job/status.go
@@ -10,7 +10,7 @@
 
 // statuses handles an agent's report on tasks of a job.
 func (c *Coordinator) statuses(now time.Time, from zinniasill.Node, key zinniasill.Key, term zinniasill.Term, reports []message.TaskStatus) {
-	r := c.jobs[key]
+	r := c.find(key)
 	if r != nil && r.answer != nil {
 		c.learnLate(r, reports)
 	}
@@ -161,7 +161,7 @@
 
 // fetch grants queued tasks, and closes attempts that are no longer wanted.
 func (c *Coordinator) fetch(now time.Time, from zinniasill.Node, body message.Fetch) {
-	r := c.jobs[body.Key]
+	r := c.find(body.Key)
 	var granted, refused []message.TaskRef
 	for _, ref := range body.Tasks {
 		if c.grants(now, r, from, body.Term, ref) {
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -15,7 +15,7 @@
 // may wait for one job.
 func (c *Coordinator) Submit(now time.Time, id RequestID, sub message.Submission) {
 	c.refresh(now)
-	if r := c.jobs[sub.Key]; r != nil {
+	if r := c.find(sub.Key); r != nil {
 		c.resubmit(now, id, r, sub)
 		return
 	}
@@ -107,6 +107,8 @@
 		return zinniasill.ReasonEpochRequired
 	case r.profile.MaxTasks > 0 && tasks > r.profile.MaxTasks:
 		return zinniasill.ReasonTooLarge
+	case c.isFull():
+		return zinniasill.ReasonRecordsFull
 	}
 	totals := c.views.Totals(now, r.profile)
 	if totals.Agents == 0 {
@@ -193,7 +195,7 @@
 // false when this entry does not own the job or the job has been answered.
 func (c *Coordinator) Cancel(now time.Time, key zinniasill.Key) bool {
 	c.refresh(now)
-	r := c.jobs[key]
+	r := c.find(key)
 	if r == nil || r.done() {
 		return false
 	}
@@ -223,7 +225,7 @@
 // Status returns the state of a job at this entry.
 func (c *Coordinator) Status(now time.Time, key zinniasill.Key) Status {
 	c.refresh(now)
-	r := c.jobs[key]
+	r := c.find(key)
 	if r == nil {
 		return Status{}
 	}
--- a/core/job/takeover_test.go
+++ b/core/job/takeover_test.go
@@ -234,15 +234,34 @@
 	})
 }
 
-// Guards against memory that grows with the number of answered jobs, and against
-// forgotten jobs that run again.
+// Guards against memory that grows with the number of answered jobs, against
+// forgotten jobs that run again, and against jobs beyond the limit of records.
 func TestKeptAnswers(t *testing.T) {
 	cases := map[string]struct {
 		limits Limits
-		want   zinniasill.Reason
+		forget bool
+		// again and profile are those of the third submission.
+		again   string
+		profile zinniasill.ProfileName
+		want    message.Answer
 	}{
-		"output evicted":   {Limits{AnswerBytes: 200}, zinniasill.ReasonAnswerEvicted},
-		"record forgotten": {Limits{Records: 1}, ""},
+		"output evicted": {
+			Limits{AnswerBytes: 200},
+			false, "a", "proof",
+			message.Answer{Code: zinniasill.ReasonAnswerEvicted, Ran: zinniasill.DidRun, Retry: zinniasill.RetryNone},
+		},
+		"record forgotten": {Limits{}, true, "a", "proof", message.Answer{Complete: true}},
+		"kept when full":   {Limits{RecordBytes: 300}, false, "a", "proof", message.Answer{Complete: true}},
+		"records full": {
+			Limits{RecordBytes: 300},
+			false, "c", "proof",
+			message.Answer{Code: zinniasill.ReasonRecordsFull, Ran: zinniasill.NotRun, Retry: zinniasill.RetrySameKey},
+		},
+		"records full for good": {
+			Limits{RecordBytes: 300},
+			false, "c", "pull",
+			message.Answer{Code: zinniasill.ReasonRecordsFull, Ran: zinniasill.NotRun, Retry: zinniasill.RetryNewKey},
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -251,13 +270,19 @@
 			w.settleAll(time.Second)
 			w.submit(w.entries[0], "b", "proof", 2)
 			w.settleAll(time.Second)
-			w.submit(w.entries[0], "a", "proof", 2)
+			if c.forget {
+				w.forget(w.entries[0])
+			}
+			w.submit(w.entries[0], c.again, c.profile, 2)
 			w.settleAll(time.Second)
 			w.check(t)
 			got := w.answers[2]
-			if got.Code != c.want || got.Complete != (c.want == "") || c.want != "" && got.Ran != zinniasill.DidRun {
+			if got.Code != c.want.Code || got.Complete != c.want.Complete || got.Ran != c.want.Ran || got.Retry != c.want.Retry {
 				t.Fatalf("answer %+v", got)
 			}
+			if kept := w.entries[0].find(zinniasill.Key{Team: "team", Client: "c"}); kept != nil {
+				t.Fatalf("the refused job is kept in state %s", kept.state)
+			}
 		})
 	}
 }
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -261,7 +261,7 @@
 // claimedAfterTombstone reports whether another entry has claimed the job after
 // the entry that answers closed its last term with a tombstone.
 func (w *world) claimedAfterTombstone(req request) bool {
-	mine := req.entry.jobs[req.key]
+	mine := req.entry.find(req.key)
 	if mine == nil || mine.term < 2 {
 		return false
 	}
@@ -271,7 +271,7 @@
 		return reply.HasValue && reply.Value.Tombstone
 	})
 	return closed && slices.ContainsFunc(w.entries, func(other *worldEntry) bool {
-		r := other.jobs[req.key]
+		r := other.find(req.key)
 		return r != nil && r.epoch == mine.epoch && r.term > mine.term
 	})
 }
@@ -279,12 +279,12 @@
 // checkTakenOver finds an entry that holds a later claim than the one whose owner
 // says that nothing ran: that entry may start the job after the answer.
 func (w *world) checkTakenOver(req request, answer message.Answer) {
-	mine := req.entry.jobs[req.key]
+	mine := req.entry.find(req.key)
 	if mine == nil {
 		return
 	}
 	for _, other := range w.entries {
-		r := other.jobs[req.key]
+		r := other.find(req.key)
 		if other != req.entry && !other.gone && r != nil && r.owns() && r.epoch == mine.epoch && r.term > mine.term {
 			w.fail("%s: %s says not-run, %s owns the job in term %d", req.key, answer.Code, other.cfg.Self, r.term)
 		}
--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -29,6 +29,8 @@
 	Clock    zinniasill.Clock
 	Counters zinniasill.Counters
 	Log      logrus.FieldLogger
+	// RecordLimit is the limit of the agent's records in bytes.
+	RecordLimit int
 }
 
 // Agent is the role beside an endpoint. Use NewAgent.
@@ -38,8 +40,8 @@
 	machine *agent.Agent
 	beside  *endpoint.Endpoint
 	runs    conc.WaitGroup
-	// busy and queued are the machine's occupancy after its last step.
-	busy, queued atomic.Int64
+	// busy, queued and records are the machine's occupancy after its last step.
+	busy, queued, records atomic.Int64
 	// process is the context of the agent's goroutines.
 	process context.Context //nolint:containedctx // The parent of life.
 	// life is the context of the present incarnation's runs; it is used on the
@@ -63,6 +65,7 @@
 	})
 	a.machine = agent.New(agent.Config{
 		Self: a.keeper.Node(), Domain: cfg.Report.Domain, Lease: a.keeper, Counters: cfg.Counters,
+		RecordLimit: cfg.RecordLimit,
 	})
 	a.beside = endpoint.New(endpoint.Config{
 		Clock: cfg.Clock, Counters: cfg.Counters, Changed: a.announced, MayStart: a.mayStart,
@@ -143,6 +146,7 @@
 	busy, queued := a.machine.Occupancy()
 	a.busy.Store(int64(busy))
 	a.queued.Store(int64(queued))
+	a.records.Store(int64(a.machine.Records()))
 }
 
 func (a *Agent) run(life context.Context, task zinniasill.Task) {
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -11,6 +11,7 @@
 
 	"zinniasill"
 	"zinniasill/core/catalog"
+	"zinniasill/core/job"
 	"zinniasill/core/message"
 	"zinniasill/core/placement"
 	"zinniasill/io/caller"
@@ -217,7 +218,9 @@
 		Report: report, Replicas: shuffled(random, p.memberNames()), Sender: link,
 		Clock: p.clock, Counters: p.metrics, Log: p.log,
 		Picker: &placement.BetterOfTwo{Rand: random}, Rand: random,
+		Limits: job.Limits{RecordBytes: p.cfg.Settings.EntryRecords << 20},
 	})
+	p.metrics.Gauge("entry_record_bytes", func() float64 { return float64(role.records.Load()) })
 	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
 	p.join(report.Node.ID, role.Deliver)
 	return role
@@ -262,7 +265,9 @@
 	role := NewAgent(AgentConfig{
 		Report: report, Replicas: shuffled(newRand(), p.memberNames()), Sender: link,
 		Clock: p.clock, Counters: p.metrics, Log: p.log,
+		RecordLimit: p.cfg.Settings.AgentRecords << 20,
 	})
+	p.metrics.Gauge("agent_record_bytes", func() float64 { return float64(role.records.Load()) })
 	p.metrics.Gauge("agent_busy_slots", func() float64 { return float64(role.busy.Load()) })
 	p.metrics.Gauge("agent_queued_tasks", func() float64 { return float64(role.queued.Load()) })
 	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -36,6 +36,8 @@
 	cfg  EntryConfig
 	jobs *job.Coordinator
 	last atomic.Uint64
+	// records is the size of the records after the last step.
+	records atomic.Int64
 	// waiting and inquiries are used on the loop's goroutine only.
 	waiting   map[job.RequestID]chan message.Answer
 	inquiries map[job.RequestID]chan job.Found
@@ -196,6 +198,7 @@
 	if node, ok := e.keeper.TakeRestart(); ok {
 		e.jobs.Restart(node)
 	}
+	e.records.Store(int64(e.jobs.Records()))
 	for _, reply := range e.jobs.Replies() {
 		if answers, ok := e.waiting[reply.Request]; ok {
 			delete(e.waiting, reply.Request)
--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -47,7 +47,7 @@
 	t.Helper()
 	r := &running{role: role, settings: settings.Settings{
 		Name: name, Domain: domain, Listen: listen, HTTP: freeAddress(t), Members: members,
-		Lease: 2 * time.Second, StopTimeout: 20 * time.Second, MaxRequests: 100, Insecure: true,
+		Lease: 2 * time.Second, StopTimeout: 20 * time.Second, MaxRequests: 100, EntryRecords: 16, AgentRecords: 12, Insecure: true,
 	}}
 	if role == settings.RoleControl {
 		r.settings.DataFolder = t.TempDir()
--- a/io/node/run_test.go
+++ b/io/node/run_test.go
@@ -39,7 +39,7 @@
 func testSettings(name string) settings.Settings {
 	return settings.Settings{
 		Name: name, Domain: "zone-a", HTTP: freePort(), Metrics: freePort(),
-		Lease: control.DefaultLeaseLength, StopTimeout: 10 * time.Second, MaxRequests: 100,
+		Lease: control.DefaultLeaseLength, StopTimeout: 10 * time.Second, MaxRequests: 100, EntryRecords: 16, AgentRecords: 12,
 		LogLevel: "info", LogFormat: "text", Insecure: true,
 	}
 }
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -22,8 +22,10 @@
 	"github.com/sirupsen/logrus"
 
 	"zinniasill"
+	"zinniasill/core/agent"
 	"zinniasill/core/consensus"
 	"zinniasill/core/control"
+	"zinniasill/core/job"
 	"zinniasill/io/identity"
 )
 
@@ -43,6 +45,8 @@
 	minLease = time.Second
 	maxLease = 8 * time.Second
 	maxStop  = 10 * time.Minute
+	// maxRecords is half of what the archive of one epoch can address.
+	maxRecords = 2048
 )
 
 // Settings are the settings of one process.
@@ -59,12 +63,16 @@
 	Lease       time.Duration
 	StopTimeout time.Duration
 	MaxRequests int
-	LogLevel    string
-	LogFormat   string
-	TLSCert     string
-	TLSKey      string
-	TLSCA       string
-	Insecure    bool
+	// EntryRecords and AgentRecords are the limits of the records of an entry and of
+	// an agent in MiB.
+	EntryRecords int
+	AgentRecords int
+	LogLevel     string
+	LogFormat    string
+	TLSCert      string
+	TLSKey       string
+	TLSCA        string
+	Insecure     bool
 	// WithEntry makes a control process run an entry too, with these addresses.
 	WithEntry   bool
 	EntryListen string
@@ -108,6 +116,7 @@
 	if role != RoleAgent {
 		flag("max-requests", "Highest number of callers' requests in progress.").Default("4096").IntVar(&s.MaxRequests)
 	}
+	registerRecords(flag, s, role)
 	if role == RoleControl {
 		registerCluster(flag, s)
 	}
@@ -117,6 +126,18 @@
 	}
 }
 
+// registerRecords adds the flags of roles that keep records of jobs.
+func registerRecords(flag func(name, help string) *kingpin.FlagClause, s *Settings, role Role) {
+	if role != RoleAgent {
+		flag("entry-records", "MiB of job records from which an entry refuses new jobs.").
+			Default(strconv.Itoa(job.DefaultRecordLimit >> 20)).IntVar(&s.EntryRecords)
+	}
+	if role == RoleAgent || role == RoleAllInOne {
+		flag("agent-records", "MiB of task and claim records from which an agent takes no new ones.").
+			Default(strconv.Itoa(agent.DefaultRecordLimit >> 20)).IntVar(&s.AgentRecords)
+	}
+}
+
 // registerCluster adds the flags that only a control replica has.
 func registerCluster(flag func(name, help string) *kingpin.FlagClause, s *Settings) {
 	flag("new-cluster", "Form a new cluster when no listed member has state.").BoolVar(&s.NewCluster)
@@ -184,8 +205,14 @@
 	if role == RoleControl || role == RoleAllInOne {
 		s.checkControl(&found)
 	}
-	if (role == RoleEntry || role == RoleAllInOne || s.WithEntry) && s.MaxRequests < 1 {
-		found.add("max-requests", "%d is below 1", s.MaxRequests)
+	if role == RoleEntry || role == RoleAllInOne || s.WithEntry {
+		if s.MaxRequests < 1 {
+			found.add("max-requests", "%d is below 1", s.MaxRequests)
+		}
+		checkRecords(&found, "entry-records", s.EntryRecords)
+	}
+	if role == RoleAgent || role == RoleAllInOne {
+		checkRecords(&found, "agent-records", s.AgentRecords)
 	}
 	if s.StopTimeout <= 0 || s.StopTimeout > maxStop {
 		found.add("stop-timeout", "%s is not between 0 and %s", s.StopTimeout, maxStop)
@@ -200,6 +227,12 @@
 	return found
 }
 
+func checkRecords(found *FindingErrors, flag string, size int) {
+	if size < 1 || size > maxRecords {
+		found.add(flag, "%d is not between 1 and %d MiB", size, maxRecords)
+	}
+}
+
 func (s *Settings) checkAddresses(found *FindingErrors, role Role) {
 	check := func(flag, address string, required bool) {
 		if address == "" {
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -12,7 +12,7 @@
 	return settings.Settings{
 		Name: "control-1", Domain: "zone-a", Listen: "127.0.0.1:7401", HTTP: "127.0.0.1:7501",
 		Members: "control-1=127.0.0.1:7401,control-2=127.0.0.1:7402", DataFolder: "data",
-		Lease: 2 * time.Second, StopTimeout: 30 * time.Second, MaxRequests: 10,
+		Lease: 2 * time.Second, StopTimeout: 30 * time.Second, MaxRequests: 10, EntryRecords: 16, AgentRecords: 12,
 		LogLevel: "info", LogFormat: "text", Insecure: true,
 	}
 }
@@ -34,6 +34,7 @@
 		"lease too long": {role: settings.RoleControl, change: func(s *settings.Settings) { s.Lease = time.Minute }, want: []string{"--lease"}},
 		"not loopback":   {role: settings.RoleEntry, change: func(s *settings.Settings) { s.HTTP = "10.0.0.1:80" }, want: []string{"--insecure-loopback"}},
 		"no TLS":         {role: settings.RoleEntry, change: func(s *settings.Settings) { s.Insecure = false }, want: []string{"--tls-cert"}},
+		"no records":     {role: settings.RoleAllInOne, change: func(s *settings.Settings) { s.EntryRecords, s.AgentRecords = 0, 4096 }, want: []string{"--entry-records", "--agent-records"}},
 		"half of TLS":    {role: settings.RoleEntry, change: func(s *settings.Settings) { s.TLSCert = "c" }, want: []string{"--tls-key", "--tls-ca"}},
 		"all of them":    {role: settings.RoleControl, change: func(s *settings.Settings) { *s = settings.Settings{} }, want: []string{"--name", "--listen", "--http", "--members", "--data", "--lease", "--stop-timeout", "--log-level", "--log-format", "--tls-cert"}},
 		"entry beside":   {role: settings.RoleControl, change: func(s *settings.Settings) { s.WithEntry, s.Domain = true, "" }, want: []string{"--entry-listen", "--entry-http", "--domain"}},
