--- a/core/agent/outbox.go
+++ b/core/agent/outbox.go
@@ -23,6 +23,7 @@
 	a.flushReplies()
 	a.flushResults()
 	a.flushHeld()
+	a.archiveEnded()
 	a.addLoads()
 	out := message.Join(a.outbox)
 	a.outbox = nil
@@ -41,6 +42,7 @@
 	for _, r := range a.replies {
 		if a.mayHold(r) {
 			r.due = a.now.Add(replyWait)
+			r.job.heldReplies++
 			a.heldReplies = append(a.heldReplies, r)
 		} else {
 			a.sendReply(r)
@@ -71,13 +73,13 @@
 	key := r.job.key
 	switch r.kind {
 	case replyWithdraw:
-		a.send(r.to, message.WithdrawReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
+		a.send(r.to, message.WithdrawReply{Key: key, Term: r.term, Tasks: a.statuses(r), Load: a.load()})
 	case replyFence:
 		a.send(r.to, message.FenceReply{
-			Key: key, Term: r.term, Fenced: r.job.term, Tasks: startedTasks(r.job), Load: a.load(),
+			Key: key, Term: r.term, Fenced: r.job.term, Tasks: a.startedTasks(r.job), Load: a.load(),
 		})
 	default:
-		if statuses := r.statuses(); len(statuses) > 0 {
+		if statuses := a.statuses(r); len(statuses) > 0 {
 			a.send(r.to, message.OfferReply{Key: key, Term: r.term, Tasks: statuses, Load: a.load()})
 		}
 	}
@@ -126,6 +128,7 @@
 	j.held = false
 	clear(j.fresh)
 	j.fresh = j.fresh[:0]
+	a.touch(j)
 }
 
 // flushHeld sends what was kept back for the receivers of the messages that leave
@@ -139,6 +142,8 @@
 		if !slices.Contains(receivers, r.to) {
 			return false
 		}
+		r.job.heldReplies--
+		a.touch(r.job)
 		r.dropReported()
 		if len(r.refs) > 0 {
 			a.sendReply(r)
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -35,13 +35,13 @@
 	a.replies = append(a.replies, reply{to: to, kind: kind, job: j, term: term, refs: refs})
 }
 
-func (r reply) statuses() []message.TaskStatus {
+func (a *Agent) statuses(r reply) []message.TaskStatus {
 	statuses := make([]message.TaskStatus, len(r.refs))
 	for i, ref := range r.refs {
 		t := r.job.tasks[ref.Index]
 		switch {
 		case t != nil:
-			statuses[i] = t.status(r.term, ref)
+			statuses[i] = a.status(t, r.term, ref)
 		case r.term < r.job.term:
 			statuses[i] = message.TaskStatus{Ref: ref, State: message.TaskClosed, Reason: zinniasill.ReasonSuperseded}
 		default:
@@ -51,11 +51,11 @@
 	return statuses
 }
 
-func startedTasks(j *job) []message.TaskStatus {
+func (a *Agent) startedTasks(j *job) []message.TaskStatus {
 	var statuses []message.TaskStatus
 	for _, t := range sortedTasks(j) {
 		if t.started() {
-			statuses = append(statuses, t.status(t.term, t.ref()))
+			statuses = append(statuses, a.status(t, t.term, t.ref()))
 		}
 	}
 	return statuses
@@ -91,7 +91,7 @@
 }
 
 func (a *Agent) acknowledge(from zinniasill.Node, ack message.ResultAck) {
-	j := a.jobs[ack.Key]
+	j := a.find(ack.Key)
 	if j == nil || j.owner != from || j.term != ack.Term {
 		return
 	}
@@ -111,7 +111,7 @@
 	statuses := make([]message.TaskStatus, 0, len(tasks))
 	for _, t := range tasks {
 		if t.unacked {
-			statuses = append(statuses, t.status(t.term, t.ref()))
+			statuses = append(statuses, a.status(t, t.term, t.ref()))
 		}
 	}
 	if len(statuses) > 0 {
@@ -123,6 +123,7 @@
 	a.reporting = slices.DeleteFunc(a.reporting, func(j *job) bool {
 		if len(j.unacked) == 0 {
 			j.reporting = false
+			a.touch(j)
 			return true
 		}
 		if !now.Before(j.reportAt) && len(j.fresh) == 0 {
--- a/core/agent/task.go
+++ b/core/agent/task.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/chart"
 	"zinniasill/core/message"
 )
@@ -60,6 +61,12 @@
 	// held is set while the fresh results are kept back, until heldUntil at most.
 	held      bool
 	heldUntil time.Time
+	// heldReplies counts the replies that are kept back and refer to the job.
+	heldReplies int
+	// touched is set while the job is in the agent's list of touched jobs.
+	touched bool
+	// full is set when there is no room for the record. It then lasts for one message.
+	full bool
 }
 
 // task is the record of one task. State, term and attempt are of the latest
@@ -75,9 +82,11 @@
 	payload  []byte
 	expected time.Duration
 
-	granted    bool
-	unacked    bool
-	evicted    bool
+	granted bool
+	unacked bool
+	evicted bool
+	// output names the output, which the outcome here lacks.
+	output     archive.OutputID
 	outcome    zinniasill.Outcome
 	queuedAt   time.Time
 	yield      time.Duration
@@ -122,17 +131,17 @@
 
 // status reports the task in answer to a message about ref of a term. An attempt
 // earlier than the latest one is closed, unless the task has started.
-func (t *task) status(term zinniasill.Term, ref message.TaskRef) message.TaskStatus {
+func (a *Agent) status(t *task, term zinniasill.Term, ref message.TaskRef) message.TaskStatus {
 	status := message.TaskStatus{Ref: ref}
 	switch {
 	case t.state == stateRunning:
 		status.State = message.TaskRunning
 	case t.ended():
 		status.State = message.TaskFinished
-		outcome := t.outcome
+		outcome, evicted := a.outcome(t)
 		status.Outcome = &outcome
 		status.Took = t.took
-		if t.evicted {
+		if evicted {
 			status.Reason = zinniasill.ReasonAnswerEvicted
 		}
 	case t.olderThan(term, ref.Attempt):
--- a/reason.go
+++ b/reason.go
@@ -26,6 +26,7 @@
 	ReasonBusy           Reason = "busy"
 	ReasonNotFound       Reason = "not-found"
 	ReasonAnswerEvicted  Reason = "answer-evicted"
+	ReasonRecordsFull    Reason = "records-full"
 	ReasonDomainOut      Reason = "domain-out"
 	ReasonLeaving        Reason = "leaving"
 	ReasonWithdrawn      Reason = "withdrawn"
