Measure regions that lose each other

Change: load regions starts 7 control replicas, 5 entries and 10 agents in two regions with a delay between them, keeps a steady load in both, drops all bytes between the regions for a time, and writes rates, refusals, times and the use of each process. The gauge control_leading tells which replica takes itself for the leader; reading the members instead would add read rounds to what is measured.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -3,6 +3,7 @@
 // files.
 //
 //	load --seed=20261204 --out=docs/measurements starts rates nodes rolling recovery sizes fits
+//	load --leader=smaller --label=leader-smaller regions
 package main
 
 import (
@@ -32,6 +33,9 @@
 	limit  time.Duration
 	sizes  []int
 	steps  []string
+	// replicas is the number of control replicas of nodes.
+	replicas int
+	regions  regionOptions
 }
 
 // runs are the measurements by name.
@@ -43,6 +47,7 @@
 	"recovery": measureRecovery,
 	"sizes":    measureSizes,
 	"fits":     measureFits,
+	"regions":  measureRegions,
 }
 
 func main() {
@@ -57,8 +62,13 @@
 	app.Flag("step", "Length of one measured step.").Default("5s").DurationVar(&o.step)
 	app.Flag("limit", "Time after which the measurement stops.").Default("3m").DurationVar(&o.limit)
 	app.Flag("size", "Numbers of stand-in nodes, ascending.").Default("6", "24", "96", "384", "1400").IntsVar(&o.sizes)
-	app.Arg("measurements", "starts, rates, nodes, rolling, recovery, sizes or fits.").Required().
-		EnumsVar(&o.steps, "starts", "rates", "nodes", "rolling", "recovery", "sizes", "fits")
+	app.Flag("replicas", "Control replicas of nodes, 3 to 7.").Default("3").IntVar(&o.replicas)
+	app.Flag("delay", "One-way delay between the two regions.").Default("10ms").DurationVar(&o.regions.delay)
+	app.Flag("cut", "How long the regions lose each other.").Default("60s").DurationVar(&o.regions.cut)
+	app.Flag("leader", "Region of the control leader at the start: larger or smaller.").
+		Default("larger").EnumVar(&o.regions.leader, "larger", "smaller")
+	app.Arg("measurements", "starts, rates, nodes, rolling, recovery, sizes, regions or fits.").Required().
+		EnumsVar(&o.steps, "starts", "rates", "nodes", "rolling", "recovery", "sizes", "regions", "fits")
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/load/nodes.go
+++ b/cmd/load/nodes.go
@@ -23,7 +23,7 @@
 
 // controlCluster has no real agents; its load comes from stand-ins.
 func controlCluster(o options) localcluster.Config {
-	return localcluster.Config{Binary: o.binary, Controls: 3, Entries: 1, Domains: 3}
+	return localcluster.Config{Binary: o.binary, Controls: o.replicas, Entries: 1, Domains: 3}
 }
 
 // withFleet runs a measurement with stand-ins on a new cluster.
@@ -52,54 +52,67 @@
 	length            time.Duration
 }
 
+// nodeTables are the results of steps, by step, role and control replica.
+type nodeTables struct {
+	results, roles, replicas *table
+}
+
+func newNodeTables() nodeTables {
+	prefix := []string{"agents", "changes-per-second", "restarts-per-second"}
+	return nodeTables{
+		results:  newTable(nodeColumns...),
+		roles:    newTable(slices.Concat(prefix, roleColumns)...),
+		replicas: newTable(slices.Concat(prefix, processColumns)...),
+	}
+}
+
+// finish writes the rows, also those before a failure.
+func (t nodeTables) finish(o options, failure error, name string) error {
+	return errors.Join(failure, t.results.write(o, name), t.roles.write(o, name+"-roles"),
+		t.replicas.write(o, name+"-replicas"))
+}
+
 // measureNodes measures the cost of control by the number of nodes and changes.
 func measureNodes(ctx context.Context, o options) error {
-	results := newTable(nodeColumns...)
-	roles := newTable(append([]string{"agents", "changes-per-second", "restarts-per-second"}, roleColumns...)...)
+	tables := newNodeTables()
 	err := withFleet(ctx, o, func(cluster *localcluster.Cluster, f *fleet) error {
 		for _, n := range o.sizes {
 			if err := f.grow(ctx, n); err != nil {
-				return errors.Join(err, f.measure(context.WithoutCancel(ctx), cluster, nodeStep{length: o.step}, results, roles))
+				return errors.Join(err, f.measure(context.WithoutCancel(ctx), cluster, nodeStep{length: o.step}, tables))
 			}
 			time.Sleep(settleTime)
 			for _, rate := range append([]float64{0}, changeRates...) {
-				if err := f.measure(ctx, cluster, nodeStep{changes: rate, length: o.step}, results, roles); err != nil {
+				if err := f.measure(ctx, cluster, nodeStep{changes: rate, length: o.step}, tables); err != nil {
 					return err
 				}
 			}
 		}
 		return nil
 	})
-	return finish(o, err, "nodes", results, roles)
+	return tables.finish(o, err, "nodes")
 }
 
 // measureRolling measures a rolling restart of one node a second.
 func measureRolling(ctx context.Context, o options) error {
-	results := newTable(nodeColumns...)
-	roles := newTable(append([]string{"agents", "changes-per-second", "restarts-per-second"}, roleColumns...)...)
+	tables := newNodeTables()
 	err := withFleet(ctx, o, func(cluster *localcluster.Cluster, f *fleet) error {
 		for _, n := range o.sizes {
 			if err := f.grow(ctx, n); err != nil {
 				return err
 			}
 			time.Sleep(settleTime)
-			if err := f.measure(ctx, cluster, nodeStep{restarts: 1, length: 4 * o.step}, results, roles); err != nil {
+			if err := f.measure(ctx, cluster, nodeStep{restarts: 1, length: 4 * o.step}, tables); err != nil {
 				return err
 			}
 		}
 		return nil
 	})
-	return finish(o, err, "rolling", results, roles)
-}
-
-// finish writes the rows, also those before a failure.
-func finish(o options, failure error, name string, results, roles *table) error {
-	return errors.Join(failure, results.write(o, name), roles.write(o, name+"-roles"))
+	return tables.finish(o, err, "rolling")
 }
 
 // measure measures one step. Stand-ins that were restarted are left out of the
 // bytes for each node.
-func (f *fleet) measure(ctx context.Context, cluster *localcluster.Cluster, s nodeStep, results, roles *table) error {
+func (f *fleet) measure(ctx context.Context, cluster *localcluster.Cluster, s nodeStep, tables nodeTables) error {
 	before, err := takeSample(ctx, cluster)
 	if err != nil {
 		return err
@@ -132,8 +145,11 @@
 		half, last = milliseconds(waits[len(waits)/2]), milliseconds(waits[len(waits)-1])
 	}
 	epochs := len(f.nodes[0].keeper.Catalog().Epochs)
-	results.add(len(f.nodes), s.changes, s.restarts, seconds, up/kept, down/kept, most, f.withoutLease(), epochs, half, last)
-	roles.addRoles(before, after, len(f.nodes), s.changes, s.restarts)
+	tables.results.add(len(f.nodes), s.changes, s.restarts, seconds, up/kept, down/kept, most, f.withoutLease(), epochs, half, last)
+	tables.roles.addRoles(before, after, len(f.nodes), s.changes, s.restarts)
+	for _, p := range cluster.Controls {
+		tables.replicas.addProcess(before, after, p.Name, len(f.nodes), s.changes, s.restarts)
+	}
 	return nil
 }
 
--- a/cmd/load/sample.go
+++ b/cmd/load/sample.go
@@ -157,3 +157,16 @@
 		t.add(row...)
 	}
 }
+
+// processColumns are the columns that addProcess fills.
+var processColumns = []string{
+	"process", "cores", "resident-mib", "sent-bytes-per-second", "received-bytes-per-second",
+}
+
+// addProcess adds a row for one process.
+func (t *table) addProcess(from, to sample, name string, prefix ...any) {
+	seconds := to.at.Sub(from.at).Seconds()
+	begin, end := from.usage[name], to.usage[name]
+	t.add(append(append([]any{}, prefix...), name, (end.cpu-begin.cpu).Seconds()/seconds, end.resident/kibibyte/kibibyte,
+		(end.sent-begin.sent)/seconds, (end.received-begin.received)/seconds)...)
+}
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -11,6 +11,7 @@
 
 	"zinniasill"
 	"zinniasill/core/catalog"
+	"zinniasill/core/consensus"
 	"zinniasill/core/message"
 	"zinniasill/core/placement"
 	"zinniasill/io/caller"
@@ -154,6 +155,12 @@
 	p.addRole(role, role.Start)
 	p.join(name, role.Deliver)
 	p.metrics.Gauge("control_term", func() float64 { return float64(role.Status().Term) })
+	p.metrics.Gauge("control_leading", func() float64 {
+		if role.Status().Role == consensus.Leader {
+			return 1
+		}
+		return 0
+	})
 	p.metrics.Gauge("control_applied_index", func() float64 { return float64(role.Applied()) })
 	return role, nil
 }
