--- a/internal/localcluster/witness.go
+++ b/internal/localcluster/witness.go
@@ -129,7 +129,7 @@
 	byJob := map[string][]stubendpoint.Start{}
 	for _, start := range history {
 		starts[start.ID]++
-		byJob[jobOf(start.ID)] = append(byJob[jobOf(start.ID)], start)
+		byJob[JobOf(start.ID)] = append(byJob[JobOf(start.ID)], start)
 	}
 	found := func(format string, args ...any) {
 		findings = append(findings, fmt.Sprintf(format, args...))
@@ -170,7 +170,8 @@
 	return key + "/" + strconv.Itoa(i)
 }
 
-func jobOf(task string) string {
+// JobOf returns the key of the job that a task id of TaskID belongs to.
+func JobOf(task string) string {
 	key, _, _ := strings.Cut(task, "/")
 	return key
 }
