Keep room in the records for accepted jobs

Cause: with repeat: never a refusal before a claim is final and takes a register at three agents and a record at the entry. By calculation, three times today's load for a quarter of an hour is about 630 refusals a second, which fill 12 MiB at each agent and 16 MiB at each entry in about 13 min. From then on every new job would be refused with records-full until an epoch leaves the window.

Change: an acceptor votes for refusals of unclaimed jobs only up to three quarters of its limit. The caller of a job beyond that gets records-full with ran: unknown, as before at the full limit. An entry keeps no record of its refusals; a resubmission finds the final ones in the registers. Ruled out: a higher limit, which only moves the time.

Conclusion: a long overload can't stop the acceptance of jobs. A resubmission of a finally refused job costs the messages of a read again.

--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -152,7 +152,7 @@
 		running:  map[*task]struct{}{},
 		outputs:  archive.Outputs[[]byte]{Budget: cfg.OutputBudget},
 	}
-	a.acceptor.Limit(a.isFull)
+	a.acceptor.Limit(a.isFullFor)
 	return a
 }
 
@@ -166,7 +166,7 @@
 	fresh.slots, fresh.kinds, fresh.serving = a.slots, a.kinds, a.serving
 	fresh.leaving = a.leaving
 	*a = *fresh
-	a.acceptor.Limit(a.isFull)
+	a.acceptor.Limit(a.isFullFor)
 }
 
 // SetEndpoint tells the state of the endpoint. Zero slots mean that it is gone:
--- a/core/agent/ended.go
+++ b/core/agent/ended.go
@@ -17,6 +17,9 @@
 	// liveTaskBytes is about what a task takes that has not ended or whose end is not
 	// acknowledged.
 	liveTaskBytes = 768
+	// refusalQuarters is the part of the limit, in quarters, up to which refused jobs
+	// are recorded.
+	refusalQuarters = 3
 	// outputBytes is what a kept output takes beyond its content.
 	outputBytes = 64
 )
@@ -41,6 +44,16 @@
 
 func (a *Agent) isFull() bool { return a.Records() >= a.cfg.RecordLimit }
 
+// isFullFor reports whether the acceptor may vote in no further register. Refusals
+// may take less than claims: a long overload would otherwise fill the records with
+// refused jobs, and no job could be accepted for the rest of the window.
+func (a *Agent) isFullFor(refusal bool) bool {
+	if refusal {
+		return a.Records() >= a.cfg.RecordLimit/4*refusalQuarters
+	}
+	return a.isFull()
+}
+
 // hasRoom reports whether a job without a record may get one. An agent that has
 // refused one must go on refusing all unknown jobs of that epoch and of earlier ones:
 // it has no record of what it refused, so that a late copy of a refused offer would
--- a/core/agent/handover.go
+++ b/core/agent/handover.go
@@ -136,7 +136,7 @@
 	h.setNow(now)
 	h.refusing = true
 	h.acceptor = claim.LoadAcceptor(state.Claims)
-	h.acceptor.Limit(a.isFull)
+	h.acceptor.Limit(a.isFullFor)
 	h.oldest = state.Claims.Oldest
 	for _, dumped := range state.Jobs {
 		h.loadJob(dumped)
--- a/core/agent/record_test.go
+++ b/core/agent/record_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -187,6 +188,32 @@
 	}
 }
 
+// TestRefusalsLeaveRoom guards against a long overload whose refused jobs fill the
+// records, so that no job could be accepted for the rest of the window.
+func TestRefusalsLeaveRoom(t *testing.T) {
+	const limit = 1 << 20
+	f := newFixture(1, func(cfg *agent.Config) { cfg.RecordLimit = limit })
+	refused := message.Claim{Owner: owner, Tombstone: true, Refused: zinniasill.ReasonOverload}
+	vote := func(client string, value message.Claim) message.ClaimReply {
+		register := message.Register{Key: key(client), Term: 1, Epoch: 5}
+		f.receive(owner, message.ClaimFast{Register: register, Value: value})
+		reply := take[message.ClaimReply](f)[0]
+		f.out = nil
+		return reply
+	}
+	for i := range limit {
+		if vote("refused-"+strconv.Itoa(i), refused).Full {
+			break
+		}
+	}
+	if size := f.agent.Records(); size > limit*9/10 {
+		t.Errorf("refusals take %d B of %d", size, limit)
+	}
+	if reply := vote("claimed", message.Claim{Owner: owner}); reply.Full || !reply.OK {
+		t.Errorf("claim after many refusals: %+v", reply)
+	}
+}
+
 // TestEpochExpiry guards against a start whose record may have been dropped, and
 // against records that are dropped while their task runs.
 func TestEpochExpiry(t *testing.T) {
--- a/core/claim/acceptor.go
+++ b/core/claim/acceptor.go
@@ -15,7 +15,7 @@
 	registers archive.Archive
 	nodes     archive.Nodes
 	frozen    bool
-	full      func() bool
+	full      func(refusal bool) bool
 }
 
 // RegisterState is an acceptor's state of one register.
@@ -36,12 +36,13 @@
 
 // NewAcceptor returns an empty acceptor for a new incarnation.
 func NewAcceptor(node zinniasill.Node) *Acceptor {
-	return &Acceptor{node: node, full: func() bool { return false }}
+	return &Acceptor{node: node, full: func(bool) bool { return false }}
 }
 
-// Limit makes the acceptor vote in no further register while full is true. It goes
-// on answering for registers that it has voted in, and reads.
-func (a *Acceptor) Limit(full func() bool) { a.full = full }
+// Limit makes the acceptor vote in no further register while full returns true. It
+// goes on answering for registers that it has voted in, and reads. Full is told
+// whether the vote is for the refusal of a job that no entry has claimed.
+func (a *Acceptor) Limit(full func(refusal bool) bool) { a.full = full }
 
 // LoadAcceptor returns an acceptor that continues a dumped one under its
 // identity. A dump may be loaded once only in the whole system: a second copy
@@ -118,7 +119,7 @@
 		return expiredReply(request.Register, message.Ballot{})
 	}
 	if state.empty() {
-		if a.full() {
+		if a.full(isRefusal(request.Register, request.Value)) {
 			return fullReply(request.Register, message.Ballot{})
 		}
 		state.HasValue = true
@@ -138,7 +139,7 @@
 		reply.Prepare = true
 		return reply
 	}
-	if state.empty() && a.full() {
+	if state.empty() && a.full(false) {
 		reply := fullReply(request.Register, request.Ballot)
 		reply.Prepare = true
 		return reply
@@ -160,7 +161,7 @@
 	if expired {
 		return expiredReply(request.Register, request.Ballot)
 	}
-	if state.empty() && a.full() {
+	if state.empty() && a.full(isRefusal(request.Register, request.Value)) {
 		return fullReply(request.Register, request.Ballot)
 	}
 	ok := request.Ballot.Compare(state.Promised) >= 0
@@ -200,6 +201,11 @@
 	a.registers.Put(state.Register.Epoch, registerKey(state.Register), a.encode(state))
 }
 
+// isRefusal reports whether a value refuses a job that no entry has claimed.
+func isRefusal(register message.Register, value message.Claim) bool {
+	return register.Term == 1 && value.Refused != ""
+}
+
 // empty reports whether the acceptor has neither voted nor promised.
 func (s RegisterState) empty() bool {
 	return !s.HasValue && s.Promised == (message.Ballot{})
--- a/core/claim/explore_test.go
+++ b/core/claim/explore_test.go
@@ -43,7 +43,7 @@
 
 // lastIsFull answers for three acceptors of which the last one is at its limit.
 func lastIsFull(a *Acceptor, body any) (message.ClaimReply, bool) {
-	a.Limit(func() bool { return a.node.ID[0] == '3' })
+	a.Limit(func(bool) bool { return a.node.ID[0] == '3' })
 	return a.Answer(body)
 }
 
--- a/core/job/refusal_test.go
+++ b/core/job/refusal_test.go
@@ -173,21 +173,25 @@
 }
 
 // Guards against a final refusal that a delayed duplicate of the submission could
-// get past at another entry.
-func TestFinalRefusalHoldsElsewhere(t *testing.T) {
+// get past at another entry or at the same one, and against an overload that fills
+// the records of an entry with its refusals.
+func TestFinalRefusalHolds(t *testing.T) {
 	w := newWorld(2, 6, 2, 1)
 	overload(w, nil)
-	w.submit(w.entries[0], "a", "pull", 2)
-	w.settleAll(time.Second)
-	w.submit(w.entries[1], "a", "pull", 2)
-	w.settleAll(time.Second)
+	for _, entry := range []int{0, 1, 0} {
+		w.submit(w.entries[entry], "a", "pull", 2)
+		w.settleAll(time.Second)
+	}
 	w.check(t)
+	if size := w.entries[0].Records(); size != 0 {
+		t.Errorf("refusals take %d B of the records", size)
+	}
 	for _, answer := range w.answers {
 		if answer.Code != zinniasill.ReasonOverload || answer.Retry != zinniasill.RetryNewKey {
 			t.Fatalf("answers %+v", w.answers)
 		}
 	}
-	if len(w.answers) != 2 || len(w.starts) > 0 {
+	if len(w.answers) != 3 || len(w.starts) > 0 {
 		t.Fatalf("%d answers, starts %v", len(w.answers), w.starts)
 	}
 }
--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -182,9 +182,9 @@
 		}
 	}
 	c.answerWaiters(r, answer)
-	// An entry without room for records keeps none of its refusals. The register still
-	// holds a final one.
-	if !r.owned || r.refusal == zinniasill.ReasonRecordsFull {
+	// Refusals are not recorded here, since an overload has many. The register holds
+	// those that are final.
+	if !r.owned || r.refusal != "" {
 		c.drop(now, r)
 		return
 	}
