--- a/core/claim/proposer.go
+++ b/core/claim/proposer.go
@@ -96,6 +96,7 @@
 	votes    []vote
 	promises []*message.ClaimReply
 	answered []bool
+	asked    bool // a read has asked a majority
 	dead     []bool
 	full     []bool
 	deadline time.Time
