Send changes to both regions during the cut

Change: load regions sends a change to the replicas of each region every 0.5 s during the cut and counts the accepted and refused ones. A change with an answer that is lost counts as refused; none of them is sent again.

--- a/cmd/load/regions.go
+++ b/cmd/load/regions.go
@@ -85,6 +85,8 @@
 	witness *localcluster.Witness
 	callers *regionCallers
 	leaders *leaderWatch
+	// changes are sent during the cut, one for each region.
+	changes []*changeProbe
 
 	samples []sample
 	// began, cut, healed and ended limit the phases.
@@ -194,7 +196,14 @@
 	r.cutRegions()
 	r.cut = time.Now()
 	logrus.Info("the regions have lost each other")
-	if err := r.phase(ctx, r.options.regions.cut); err != nil {
+	for _, in := range regions {
+		r.changes = append(r.changes, probeChanges(ctx, r.cluster, in))
+	}
+	err = r.phase(ctx, r.options.regions.cut)
+	for _, probe := range r.changes {
+		probe.stop()
+	}
+	if err != nil {
 		return err
 	}
 	r.network.Heal()
--- a/cmd/load/regiontables.go
+++ b/cmd/load/regiontables.go
@@ -167,6 +167,9 @@
 	if at, ok := r.leaders.last(r.cut, r.healed, inSmaller); ok {
 		t.add("leader in smaller steps down, s after the cut", at.Sub(r.cut).Seconds())
 	}
+	for i, in := range regions {
+		r.changes[i].add(t, in, r.cut)
+	}
 	double := 0
 	for _, n := range r.cluster.Starts() {
 		if n > 1 {
