Limit an agent to two processors

An agent is meant to use 4% of a core, but the Go runtime gave it one processor for each core of the worker. Each message then woke threads that searched for work and found none.

An agent now uses two processors unless GOMAXPROCS is set. One was ruled out, because the garbage collector would stand in the way of the lease. Entries and control keep all, since they have machines of their own.

--- a/cmd/zinniasill/main.go
+++ b/cmd/zinniasill/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -82,6 +83,9 @@
 	if found := s.Check(role); len(found) > 0 {
 		return found
 	}
+	if role == settings.RoleAgent {
+		limitProcessors()
+	}
 	process, err := node.New(node.Config{Settings: s, Role: role, Log: newLogger(s)})
 	if err != nil {
 		return err
@@ -89,6 +93,19 @@
 	return process.Run(ctx)
 }
 
+// agentProcessors is the highest number of processors that an agent's goroutines use
+// at the same time. An agent needs a small part of one. With one for each of a
+// worker's cores, the scheduler wakes threads for every message that only look for
+// work.
+const agentProcessors = 2
+
+// limitProcessors applies agentProcessors unless the environment sets another number.
+func limitProcessors() {
+	if os.Getenv("GOMAXPROCS") == "" && runtime.GOMAXPROCS(0) > agentProcessors {
+		runtime.GOMAXPROCS(agentProcessors)
+	}
+}
+
 func newLogger(s settings.Settings) *logrus.Logger {
 	log := logrus.New()
 	level, err := logrus.ParseLevel(s.LogLevel)
