Let the write buffers of a link start small and shrink

A heap profile of a control replica with 300 links (150 stand-in nodes) showed 19 of 31 MB in write buffers of 64 KiB for each link, and 7 MB in encoding buffers that had grown once, for the full catalog of a new node.

The write buffer starts at 4 KiB. Large frames are written in parts of 16 KiB instead of 64 KiB, so that it grows no further than that. The stream keeps a buffer of 16 KiB at most, and the encoding buffer is released after 16 frames in a row that used less than a quarter of it. A pool of buffers shared by all links was ruled out: the library allocates the write buffer itself.

--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -24,15 +24,19 @@
 	// acceptPause follows a temporary error of the listener, such as a process out
 	// of file descriptors.
 	acceptPause = 100 * time.Millisecond
-	// writeBuffer is the size of the buffer that a frame is written from.
-	writeBuffer = 64 << 10
+	// writeBuffer is the first size of the buffer of a link that is written from. It
+	// grows to hold splitSize and does not shrink. A control replica has two links
+	// for each node, most of which carry small messages only.
+	writeBuffer = 4 << 10
+	// splitSize is the size of the parts that a large frame is written in.
+	splitSize = 16 << 10
 )
 
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		WriterBufferSize: writeBuffer,
 		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: MaxFrame},
-		Stream:           drpcstream.Options{MaximumBufferSize: 4 * writeBuffer},
+		Stream:           drpcstream.Options{MaximumBufferSize: splitSize, SplitSize: splitSize},
 	}
 }
 
--- a/io/peer/outbound.go
+++ b/io/peer/outbound.go
@@ -23,8 +23,12 @@
 	backoffMax = time.Second
 	// batchBytes is the size at which a frame of several envelopes is sent.
 	batchBytes = 64 << 10
-	// bufferKept is the highest capacity of the encoding buffer that is kept.
-	bufferKept = 1 << 20
+	// bufferKept is the highest capacity of the encoding buffer that is kept, and
+	// bufferSmall that which is kept when smallFrames frames in a row took less than a
+	// quarter of it. Most links carry a large frame only when they are new.
+	bufferKept  = 1 << 20
+	bufferSmall = 4 << 10
+	smallFrames = 16
 )
 
 // outbound is the sending side for one peer.
@@ -198,6 +202,8 @@
 	batch   []message.Envelope
 	buf     bytes.Buffer
 	frame   frame
+	// small counts the frames in a row that left most of buf unused.
+	small int
 }
 
 // drain sends what waits now, and leaves the rest of a long queue for the next
@@ -260,8 +266,12 @@
 		return nil
 	}
 	err := w.send(w.buf.Bytes())
+	w.small++
+	if w.buf.Len() >= w.buf.Cap()/4 {
+		w.small = 0
+	}
 	w.buf.Reset()
-	if w.buf.Cap() > bufferKept {
+	if w.buf.Cap() > bufferKept || (w.small >= smallFrames && w.buf.Cap() > bufferSmall) {
 		w.buf = bytes.Buffer{}
 	}
 	return err
