State the measured share of the header in a message

It now names the mean over the messages of BenchmarkOneTaskJob, 79 of 220 bytes, from 2,205 and 1,415 B for ten messages.

--- a/io/peer/envelope.go
+++ b/io/peer/envelope.go
@@ -19,7 +19,7 @@
 
 // packed is the head of an envelope on the wire; the body follows it. It carries only
 // the fields of the header that differ from the envelope before it on the same link:
-// cluster, sender and receiver took 80 of the 150 to 300 bytes of a message.
+// the others took 79 of 220 bytes in the mean over the messages of BenchmarkOneTaskJob.
 type packed struct {
 	Version uint16                `cbor:"1,keyasint,omitempty"`
 	Cluster *zinniasill.ClusterID `cbor:"2,keyasint,omitempty"`
