Cancel in waves and resubmit in the load of the process tests

Cause: no process test but TestAnyEntry cancelled a job, and all of them used profiles with repeat: never.

Change: the load of the process tests runs every second caller under a profile with repeat: resubmit, and beside the callers it submits four jobs at once and cancels them at once, each through the next entry, after none to three of their tasks have started. TestRefusals sends its keys under both profiles and cancels half of them in waves of thirty. A job of a wave may end as cancelled; every other failure counts as before, and the witness compares all answers with the starts. The load moves to a file of its own. A separate test of cancellations was ruled out: the load meets every failure that the tests provoke. TestEntryTerminated counts the four clients of the waves as callers.

--- a/internal/proctest/entry_test.go
+++ b/internal/proctest/entry_test.go
@@ -56,8 +56,7 @@
 // ends with an error, or after which callers go on sending jobs to the stopping entry.
 func TestEntryTerminated(t *testing.T) {
 	f := start(t, 3)
-	const callers = 8
-	l := f.startLoad(callers, 50)
+	l := f.startLoad(8, 50)
 	var jobs []client.Job
 	for i := range 10 {
 		jobs = append(jobs, newJob(fmt.Sprintf("in-flight-%d", i), 4, 500))
@@ -81,8 +80,8 @@
 	l.stop(func(refused *client.RefusalError) bool {
 		return refused.Code == zinniasill.ReasonShuttingDown && refused.Ran == zinniasill.NotRun
 	})
-	if len(l.failed) > callers {
-		t.Errorf("%d jobs were refused by the stopping entry, with %d callers", len(l.failed), callers)
+	if len(l.failed) > l.callers {
+		t.Errorf("%d jobs were refused by the stopping entry, with %d callers", len(l.failed), l.callers)
 	}
 }
 
--- a/internal/proctest/fixture_test.go
+++ b/internal/proctest/fixture_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +20,8 @@
 
 const (
 	profile = "plate"
+	// resubmitProfile lets callers send a refused or failed job again.
+	resubmitProfile = "preview"
 	// seed is the seed of the clients' jitter.
 	seed = 20261204
 	// startBound is the promise: no start in a domain or at an endpoint later than
@@ -71,6 +70,7 @@
 	f.Cluster = cluster
 	t.Cleanup(f.finish)
 	f.must(cluster.PutProfile(ctx, profile, catalog.RepeatNever))
+	f.must(cluster.PutProfile(ctx, resubmitProfile, catalog.RepeatResubmit))
 	f.awaitEpoch()
 	return f
 }
@@ -218,80 +218,6 @@
 	return nil
 }
 
-// load is a number of callers that submit one job after the other.
-type load struct {
-	fixture *fixture
-	cancel  context.CancelFunc
-	wait    sync.WaitGroup
-
-	mu     sync.Mutex
-	done   int
-	failed []error
-}
-
-// startLoad starts callers with jobs of 4 tasks.
-func (f *fixture) startLoad(callers, runMS int) *load {
-	ctx, cancel := context.WithCancel(f.ctx)
-	l := &load{fixture: f, cancel: cancel}
-	f.Cleanup(cancel)
-	for i := range callers {
-		l.wait.Go(func() {
-			c := f.client()
-			for n := 0; ctx.Err() == nil; n++ {
-				l.note(f.submit(c, newJob(fmt.Sprintf("load-%d-%d", i, n), 4, runMS)))
-			}
-		})
-	}
-	l.awaitMore(callers)
-	return l
-}
-
-func (l *load) note(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil {
-		l.failed = append(l.failed, err)
-		return
-	}
-	l.done++
-}
-
-func (l *load) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.done
-}
-
-// awaitMore waits until a number of further jobs are answered.
-func (l *load) awaitMore(jobs int) {
-	l.fixture.Helper()
-	want := l.count() + jobs
-	l.fixture.await("further jobs to be answered", func() bool { return l.count() >= want })
-}
-
-// stop stops the callers after their present jobs. Only failures that ok allows
-// are accepted.
-func (l *load) stop(ok func(*client.RefusalError) bool) {
-	l.fixture.Helper()
-	l.cancel()
-	l.wait.Wait()
-	l.fixture.Logf("load: %d jobs answered, %d failed", l.done, len(l.failed))
-	for _, err := range l.failed {
-		var refused *client.RefusalError
-		if !errors.As(err, &refused) || !ok(refused) {
-			l.fixture.Errorf("load: %v", err)
-		}
-	}
-}
-
-// noFailure allows no failed job.
-func noFailure(*client.RefusalError) bool { return false }
-
-// lostWork allows the failures that a lost agent causes.
-func lostWork(refused *client.RefusalError) bool {
-	return refused.Ran == zinniasill.RanUnknown || refused.Ran == zinniasill.NotRun
-}
-
 // lateStarts returns the starts at the given agents later than the bound after
 // out and before until.
 func (f *fixture) lateStarts(out, until time.Time, agents ...int) []stubendpoint.Start {
--- a/internal/proctest/refusal_test.go
+++ b/internal/proctest/refusal_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"zinniasill"
 	"zinniasill/client"
 	"zinniasill/core/catalog"
 	"zinniasill/internal/localcluster"
@@ -13,14 +14,16 @@
 
 // TestRefusals guards against a refusal that says not-run for a job that runs: many
 // callers send each key to both entries at once, above the capacity,
-// while an agent dies, a domain moves and an entry stops.
+// while callers cancel, an agent dies, a domain moves and an entry stops.
 func TestRefusals(t *testing.T) {
 	f := start(t, 6)
-	_, err := f.Operator().PutProfile(f.ctx, catalog.Profile{
-		Name: "hurried", Kind: localcluster.Kind, AnswerWithin: 300 * time.Millisecond,
-		ExpectedRunTime: 50 * time.Millisecond, Repeat: catalog.RepeatNever, MaxTasks: 1000,
-	}, localcluster.NewEdit(0))
-	f.must(err)
+	for _, repeat := range []catalog.Repeat{catalog.RepeatNever, catalog.RepeatResubmit} {
+		_, err := f.Operator().PutProfile(f.ctx, catalog.Profile{
+			Name: hurried(repeat), Kind: localcluster.Kind, AnswerWithin: 300 * time.Millisecond,
+			ExpectedRunTime: 50 * time.Millisecond, Repeat: repeat, MaxTasks: 1000,
+		}, localcluster.NewEdit(0))
+		f.must(err)
+	}
 	f.awaitEpoch()
 	const keys = 300
 	clients := []*client.Client{f.client(0, 1), f.client(1, 0), f.client()}
@@ -30,7 +33,10 @@
 	wait.Go(func() {
 		for i := range keys {
 			job := newJob(fmt.Sprintf("hurried-%d", i), 4, 50)
-			job.Profile = "hurried"
+			job.Profile = hurried(catalog.RepeatNever)
+			if i%2 == 1 {
+				job.Profile = hurried(catalog.RepeatResubmit)
+			}
 			slots <- struct{}{}
 			wait.Go(func() {
 				defer func() { <-slots }()
@@ -43,6 +49,10 @@
 	number := 0
 	for range sent {
 		number++
+		if number%waveEvery == 0 {
+			last := number
+			wait.Go(func() { f.cancelKeys(last-waveEvery, last) })
+		}
 		switch number {
 		case keys / 5:
 			f.Agents[1].Kill()
@@ -61,6 +71,25 @@
 	t.Logf("refusals by code: %v", f.witness.codes())
 }
 
+// waveEvery is the number of keys after which a wave cancels half of them.
+const waveEvery = 30
+
+func hurried(repeat catalog.Repeat) zinniasill.ProfileName {
+	return zinniasill.ProfileName("hurried-" + repeat)
+}
+
+// cancelKeys cancels every second pair of keys at once, so that both profiles are
+// among them, each through one entry.
+func (f *fixture) cancelKeys(from, to int) {
+	var wait sync.WaitGroup
+	for i := from; i < to; i++ {
+		if i/2%2 == 0 {
+			wait.Go(func() { _ = f.client(i/4%2).Cancel(f.ctx, fmt.Sprintf("hurried-%d", i)) })
+		}
+	}
+	wait.Wait()
+}
+
 // sendEverywhere sends a job through all clients at once. Errors are checked by
 // the witness.
 func (f *fixture) sendEverywhere(clients []*client.Client, job client.Job) {
