Let only the agent's lease stop it in TestAgentCutOffFromControl

Cause: the test passed also with an agent that does not check its lease, since the entries heard of the change and refused to grant.

Change: a job of 300 tasks of 500 ms waits at the agents. Its owner is cut off from control at the same time as the agent, so that it grants what the agent fetches, while the other entry and the other agents work on. Freezing the owner instead was ruled out: the agent closes a link that is silent for 1.5 s, and the grants are lost with it.

--- a/internal/proctest/partition_test.go
+++ b/internal/proctest/partition_test.go
@@ -13,7 +13,9 @@
 var controlNames = []string{"control-1", "control-2", "control-3"}
 
 // TestAgentCutOffFromControl guards against an agent that can't hear of a domain
-// taken out of service and goes on starting tasks in it, while entries reach it.
+// taken out of service and goes on starting the tasks that wait in it. The entry that
+// owns these tasks reaches the agent and can't hear of the change either, so that
+// only the agent's own lease stops it, while the rest of the cluster works on.
 func TestAgentCutOffFromControl(t *testing.T) {
 	t.Parallel()
 	tests := map[string]func(f *fixture){
@@ -28,6 +30,12 @@
 		t.Run(name, func(t *testing.T) {
 			f := start(t, 6)
 			l := f.startLoad(8, 50)
+			// Enough tasks for about six seconds, well past the bound on late starts.
+			waiting := []client.Job{newJob("waiting", 300, 500)}
+			done := make(chan []error, 1)
+			go func() { done <- f.submitAll(f.client(1), waiting) }()
+			f.await("a task to start at the agent", func() bool { return countStarts(f.startedAt(0), "waiting") > 0 })
+			f.network.Cut("entry-2", controlNames...)
 			cut(f)
 			f.setDomain(f.Domain(0), catalog.DomainOut)
 			out := time.Now()
@@ -44,6 +52,7 @@
 				t.Errorf("%d late starts in the domain, the first %v", len(late), late[0])
 			}
 			l.stop(lostWork)
+			<-done // the witness checks what the caller is told
 		})
 	}
 }
