Kill two members of every claim group in the process tests

Cause: the answer record-lost was tested in the core only.

Change: TestTwoOfGroupKilled kills two of three agents at once, with the owner of the jobs or without it, while jobs are answered, run and wait. Every key is sent twice through each entry at once, before and after the agents restart. The answers must be whole or refusals that are true or say unknown; the witness compares them with the starts. New keys are served after the epoch of one agent and after that of three.

--- a/internal/proctest/agent_test.go
+++ b/internal/proctest/agent_test.go
@@ -221,3 +221,136 @@
 	}
 	l.stop(lostWork)
 }
+
+// TestTwoOfGroupKilled guards against a second start or a false refusal when two of
+// the three members of every claim group die within the detection time, and with
+// them the record of who owns a job: with the owner, which then nobody knows, or
+// without it. New keys are served after the new epoch.
+func TestTwoOfGroupKilled(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		entries []int
+		killed  func(f *fixture) []*localcluster.Process
+		// answers is the least number of resubmissions with an answer.
+		answers int
+	}{
+		"owner lives": {entries: []int{0, 1}, answers: 2 * answeredJobs, killed: func(f *fixture) []*localcluster.Process {
+			return f.Agents[:2]
+		}},
+		"owner dies": {entries: []int{1}, killed: func(f *fixture) []*localcluster.Process {
+			return append(f.Agents[:2:2], f.Entries[0])
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 3)
+			jobs := f.ownedJobs()
+			killed := tt.killed(f)
+			for _, p := range killed {
+				p.Signal(syscall.SIGKILL)
+			}
+			for _, p := range killed {
+				p.Kill()
+			}
+			codes := f.resubmit(tt.entries, jobs)
+			f.awaitDead(f.Agents[0])
+			f.awaitDead(f.Agents[1])
+			f.awaitNewKeys("one-agent")
+			for _, p := range killed {
+				f.must(p.Start())
+			}
+			f.must(f.AwaitReady(f.ctx, killed...))
+			f.awaitEpoch()
+			after := f.resubmit([]int{0, 1}, jobs)
+			f.awaitNewKeys("all-agents")
+			t.Logf("outcomes of resubmissions: %v, after the restart: %v", codes, after)
+			if after[zinniasill.ReasonRecordLost] == 0 {
+				t.Error("no lost record was met")
+			}
+			if codes[""] < tt.answers {
+				t.Errorf("%d answers, the owner knows those of %d submissions", codes[""], tt.answers)
+			}
+		})
+	}
+}
+
+// awaitNewKeys waits until a new key is served, and checks that further ones are.
+// Until the epoch without the lost agents begins, new keys fail too: their groups
+// have lost the majority.
+func (f *fixture) awaitNewKeys(prefix string) {
+	f.Helper()
+	c := f.client(1)
+	tried := 0
+	try := func() error {
+		tried++
+		return f.submit(c, newJob(fmt.Sprintf("%s-%d", prefix, tried), 4, 10))
+	}
+	f.await("a new key to be served", func() bool { return try() == nil })
+	for range 5 {
+		f.must(try())
+	}
+}
+
+// answeredJobs is the number of jobs of ownedJobs that have been answered.
+const answeredJobs = 6
+
+// ownedJobs submits stamped jobs through the first entry: at first those that are
+// answered, then some whose tasks run or wait when it returns.
+func (f *fixture) ownedJobs() []client.Job {
+	f.Helper()
+	c := f.client(0)
+	epoch, err := c.Stamp(f.ctx)
+	f.must(err)
+	var jobs []client.Job
+	for i := range 5 * answeredJobs {
+		runMS := 10
+		if i >= answeredJobs {
+			runMS = int(lostRunTime.Milliseconds())
+		}
+		job := newJob(fmt.Sprintf("owned-%d", i), 1, runMS)
+		job.Profile = profileOf(i)
+		job.Epoch = epoch
+		jobs = append(jobs, job)
+	}
+	f.must(errors.Join(f.submitAll(c, jobs[:answeredJobs])...))
+	done := make(chan struct{})
+	f.Cleanup(func() { <-done })
+	go func() {
+		defer close(done)
+		f.submitAll(c, jobs[answeredJobs:]) // the witness checks what the caller is told
+	}()
+	f.awaitPlaced(len(jobs))
+	return jobs
+}
+
+// resubmit sends each job twice at once through each of the entries, and counts the
+// outcomes by code, the empty one for answers. A refusal must be true, which the
+// witness checks, or say that nothing is known.
+func (f *fixture) resubmit(entries []int, jobs []client.Job) map[zinniasill.Reason]int {
+	f.Helper()
+	var failed []error
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, entry := range append(entries, entries...) {
+		wait.Go(func() {
+			errs := f.submitAll(f.client(entry), jobs)
+			mu.Lock()
+			defer mu.Unlock()
+			failed = append(failed, errs...)
+		})
+	}
+	wait.Wait()
+	codes := map[zinniasill.Reason]int{}
+	for _, err := range failed {
+		var refused *client.RefusalError
+		switch {
+		case err == nil:
+			codes[""]++
+		case !errors.As(err, &refused) || !lostWork(refused):
+			f.Errorf("resubmission: %v", err)
+		default:
+			codes[refused.Code]++
+		}
+	}
+	return codes
+}
