Kill each role at each step of a job

Cause: the process tests killed processes under load, at steps that chance picked.

Change: TestEachStep holds the messages about a one-task job from the n-th on, kills a process, drops its held messages, passes on the others, and sends the key twice through the other entry at once, for n = 1, 2 and so on until the job is answered before the n-th message. The killed process is the owner, the agent that was sent the task, another agent of the claim group, or the control leader; the owner is also stopped until the others have answered. The task finds a free slot or waits for one, so that it is fetched and granted. One cluster serves all steps of a case; the witness compares the answers with the starts. localcluster.Network has a function that decides whether bytes pass and may hold them. Passing on the held messages of a killed process was ruled out, since the loss of an answer is the harder case.

--- a/internal/localcluster/network.go
+++ b/internal/localcluster/network.go
@@ -19,6 +19,10 @@
 	// Delay, if set, returns how long bytes from one process to another take. The
 	// handshake of TCP itself isn't delayed.
 	Delay func(from, to string) time.Duration
+	// Pass, if set, reports whether bytes from one process to another are passed on.
+	// They and what follows on their connection wait until it returns. A process
+	// that hasn't named itself yet is empty.
+	Pass func(from, to string, data []byte) bool
 
 	mu      sync.Mutex
 	names   []string
@@ -150,10 +154,14 @@
 	clear(n.blocked)
 }
 
-func (n *Network) isBlocked(from, to string) bool {
+// passes reports whether bytes from one process to another are passed on.
+func (n *Network) passes(from, to string, data []byte) bool {
+	if n.Pass != nil && !n.Pass(from, to, data) {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.blocked[direction{from, to}]
+	return !n.blocked[direction{from, to}]
 }
 
 func (n *Network) delay(from, to string) time.Duration {
--- a/internal/localcluster/proxied.go
+++ b/internal/localcluster/proxied.go
@@ -77,7 +77,7 @@
 			p.observe(buf[:size])
 		}
 		sender, receiver := p.ends(inward)
-		silent = silent || p.network.isBlocked(sender, receiver)
+		silent = silent || !p.network.passes(sender, receiver, buf[:size])
 		if !silent {
 			if err := line.write(buf[:size], p.network.delay(sender, receiver)); err != nil {
 				return
--- a/internal/proctest/fixture_test.go
+++ b/internal/proctest/fixture_test.go
@@ -29,6 +29,8 @@
 	startBound = 3 * time.Second
 	// testTimeout ends a test whose event never comes.
 	testTimeout = 60 * time.Second
+	// slots is the number of slots of each endpoint.
+	slots = 4
 	// maxClusters bounds the clusters that run at once, and with it the processes.
 	maxClusters = 5
 	// logLines is the number of lines shown of the log of each process.
@@ -52,17 +54,23 @@
 // start starts a cluster of 3 control replicas, 2 entries and the given number of
 // agents in 3 failure domains, with a profile. All is checked at the test's end.
 func start(t *testing.T, agents int) *fixture {
+	t.Helper()
+	return startBehind(t, agents, &localcluster.Network{})
+}
+
+// startBehind is start with a given network.
+func startBehind(t *testing.T, agents int, network *localcluster.Network) *fixture {
 	t.Helper()
 	t.Parallel()
 	clusters <- struct{}{}
 	t.Cleanup(func() { <-clusters })
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	f := &fixture{T: t, ctx: ctx, network: &localcluster.Network{}, witness: newWitness()}
+	f := &fixture{T: t, ctx: ctx, network: network, witness: newWitness()}
 	t.Cleanup(f.network.Close)
 	cluster, err := localcluster.Start(ctx, localcluster.Config{
 		Binary: binary, Folder: t.TempDir(), Controls: 3, Entries: 2, Agents: agents, Domains: 3,
-		Slots: 4, Through: f.network.Through,
+		Slots: slots, Through: f.network.Through,
 	})
 	if err != nil {
 		t.Fatal(err)
