Cut control off for minutes in make soak

Cause: the cuts of the process tests last about 6 s, and no real process had been cut off for minutes.

Change: TestControlCutOff and TestAllCutOffFromControl cut for 3 min when cmd/soak runs them, and for 6 s otherwise; the time limit of a test grows by the length of the cut. A test of its own was ruled out, since the checks are the same.

--- a/internal/proctest/fixture_test.go
+++ b/internal/proctest/fixture_test.go
@@ -27,7 +27,8 @@
 	// startBound is the promise: no start in a domain or at an endpoint later than
 	// this after it was taken out.
 	startBound = 3 * time.Second
-	// testTimeout ends a test whose event never comes.
+	// testTimeout ends a test whose event never comes. The length of a long cut is
+	// added to it.
 	testTimeout = 60 * time.Second
 	// slots is the number of slots of each endpoint.
 	slots = 4
@@ -64,7 +65,7 @@
 	t.Parallel()
 	clusters <- struct{}{}
 	t.Cleanup(func() { <-clusters })
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout+longCut())
 	t.Cleanup(cancel)
 	f := &fixture{T: t, ctx: ctx, network: network, witness: newWitness()}
 	t.Cleanup(f.network.Close)
--- a/internal/proctest/partition_test.go
+++ b/internal/proctest/partition_test.go
@@ -1,6 +1,7 @@
 package proctest_test
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -9,6 +10,23 @@
 	"zinniasill/internal/localcluster"
 )
 
+// soakVariable is set by cmd/soak.
+const soakVariable = "ZINNIASILL_SOAK"
+
+// longCut returns the length of a long cut from control: longer than every lease and
+// election, and minutes in make soak.
+func longCut() time.Duration {
+	if os.Getenv(soakVariable) != "" {
+		return 3 * time.Minute
+	}
+	return 6 * time.Second
+}
+
+func (f *fixture) awaitLongCut(since time.Time) {
+	f.Helper()
+	f.await("a long cut", func() bool { return time.Since(since) > longCut() })
+}
+
 // controlNames are the names of the control replicas.
 var controlNames = []string{"control-1", "control-2", "control-3"}
 
@@ -72,7 +90,7 @@
 	}
 	f.setDomain(f.Domain(0), catalog.DomainOut)
 	out := time.Now()
-	f.awaitBound(out)
+	f.awaitLongCut(out)
 	if late := f.lateStarts(out, time.Now(), 0); len(late) > 0 {
 		t.Errorf("%d late starts in the domain, the first %v", len(late), late[0])
 	}
@@ -128,9 +146,7 @@
 			for i := range 60 {
 				f.putQuota(f.Operator(), "cut", 1000+i)
 			}
-			// Longer than every lease and election.
-			cutAt := time.Now()
-			f.await("a long cut", func() bool { return time.Since(cutAt) > 6*time.Second })
+			f.awaitLongCut(time.Now())
 			l.awaitMore(16)
 			f.network.Heal()
 			f.await("the replica to have the last change", func() bool {
