--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/archive"
 	"zinniasill/core/catalog"
 	"zinniasill/core/claim"
 	"zinniasill/core/message"
@@ -31,8 +32,12 @@
 	// DefaultOutputBudget is the highest size of the kept outputs in bytes.
 	DefaultOutputBudget = 16 << 20
 
-	// resendWait is the time after which a fetch or result is sent again.
+	// resendWait is the time after which a fetch or a part of a handover is sent
+	// again.
 	resendWait = 200 * time.Millisecond
+	// resultWait is the time after which a result is sent again. It is longer than
+	// the time for which owners may keep an acknowledgement back.
+	resultWait = 600 * time.Millisecond
 	// fetchLimit is the time after which a fetch without a grant frees its slot.
 	fetchLimit = time.Second
 	// deadOwnerWait spaces the reports to an owner that is not in the catalog.
@@ -69,7 +74,10 @@
 	QueueLimit int
 	// OutputBudget in bytes is DefaultOutputBudget if 0.
 	OutputBudget int
-	Counters     zinniasill.Counters
+	// RecordLimit in bytes is DefaultRecordLimit if 0. From there on the agent takes no
+	// job and no register that it has no record of, and hosts no records of others.
+	RecordLimit int
+	Counters    zinniasill.Counters
 }
 
 // Agent is the state machine. Use New. It is not safe for concurrent use.
@@ -86,9 +94,21 @@
 	serving bool
 	leaving bool
 
-	jobs     map[zinniasill.Key]*job
-	epochs   map[zinniasill.Epoch][]*job
+	// jobs are those that have not ended, and ended the encoded others.
+	jobs  map[zinniasill.Key]*job
+	ended archive.Archive
+	// touched are jobs that may have ended in this step, and live counts the tasks
+	// in jobs.
+	touched []*job
+	live    int
+	owners  archive.Nodes
+	// refused is the latest epoch in which a job was refused for want of room, and
+	// refusing is set when the agent takes no job at all.
+	refused  zinniasill.Epoch
+	refusing bool
 	oldest   zinniasill.Epoch
+	// expiring is set while a job of an epoch before oldest is kept.
+	expiring bool
 	queue    queue
 	fetching []*task
 	pending  []*task // offered or granted, to be started by Runs
@@ -99,16 +119,18 @@
 	runningWork time.Duration
 	origin      time.Time
 
-	reporting   []*job // jobs with results to be acknowledged
-	fresh       []*job // jobs with results that were never sent
-	outputs     []*task
-	outputBytes int
-	failed      uint64
-	succeeded   uint64
+	reporting []*job // jobs with results to be acknowledged
+	fresh     []*job // jobs with results that were never sent
+	outputs   archive.Outputs[[]byte]
+	failed    uint64
+	succeeded uint64
 
 	now     time.Time
 	replies []reply
 	outbox  []message.Envelope
+	// heldReplies and heldResults wait for another message to their receivers.
+	heldReplies []reply
+	heldResults []*job
 }
 
 // New returns an agent without an endpoint.
@@ -119,14 +141,19 @@
 	if cfg.OutputBudget == 0 {
 		cfg.OutputBudget = DefaultOutputBudget
 	}
-	return &Agent{
+	if cfg.RecordLimit == 0 {
+		cfg.RecordLimit = DefaultRecordLimit
+	}
+	a := &Agent{
 		cfg:      cfg,
 		acceptor: claim.NewAcceptor(cfg.Self),
 		incoming: map[zinniasill.Node]*incoming{},
 		jobs:     map[zinniasill.Key]*job{},
-		epochs:   map[zinniasill.Epoch][]*job{},
 		running:  map[*task]struct{}{},
+		outputs:  archive.Outputs[[]byte]{Budget: cfg.OutputBudget},
 	}
+	a.acceptor.Limit(a.isFull)
+	return a
 }
 
 // Restart discards all state and continues as another incarnation. It is called
@@ -139,6 +166,7 @@
 	fresh.slots, fresh.kinds, fresh.serving = a.slots, a.kinds, a.serving
 	fresh.leaving = a.leaving
 	*a = *fresh
+	a.acceptor.Limit(a.isFull)
 }
 
 // SetEndpoint tells the state of the endpoint. Zero slots mean that it is gone:
@@ -182,18 +210,17 @@
 		a.receiveHosted(now, env)
 		return
 	}
-	if a.receiveHandover(now, env) || a.frozen {
+	if _, ok := env.Body.(message.Bundle); ok {
+		for _, part := range message.Split([]message.Envelope{env}) {
+			a.Receive(now, part)
+		}
 		return
 	}
-	a.setNow(now)
-	if answer, ok := a.acceptor.Answer(env.Body); ok {
-		a.send(env.From, answer)
+	if a.receiveHandover(now, env) || a.frozen {
 		return
 	}
-	if batch, ok := env.Body.(message.ClaimBatch); ok {
-		if answers, ok := a.acceptor.AnswerAll(batch); ok {
-			a.send(env.From, answers)
-		}
+	a.setNow(now)
+	if a.receiveClaim(env) {
 		return
 	}
 	switch body := env.Body.(type) {
@@ -211,6 +238,32 @@
 	a.settle(now)
 }
 
+// receiveClaim answers claim messages and reports whether env was one.
+func (a *Agent) receiveClaim(env message.Envelope) bool {
+	if answer, ok := a.acceptor.Answer(env.Body); ok {
+		a.countFull(answer)
+		a.send(env.From, answer)
+		return true
+	}
+	batch, ok := env.Body.(message.ClaimBatch)
+	if !ok {
+		return false
+	}
+	if answers, ok := a.acceptor.AnswerAll(batch); ok {
+		for _, answer := range answers.Replies {
+			a.countFull(answer)
+		}
+		a.send(env.From, answers)
+	}
+	return true
+}
+
+func (a *Agent) countFull(answer message.ClaimReply) {
+	if answer.Full {
+		a.count(CounterClaimsFull, zinniasill.ReasonRecordsFull)
+	}
+}
+
 // Tick implements daemon.Machine.
 func (a *Agent) Tick(now time.Time) {
 	a.resendHandover(now)
@@ -252,18 +305,6 @@
 	return runs
 }
 
-// Outbox implements daemon.Machine.
-func (a *Agent) Outbox() []message.Envelope {
-	a.flushReplies()
-	a.flushResults()
-	out := a.outbox
-	a.outbox = nil
-	for _, h := range a.hosted {
-		out = append(out, h.Outbox()...)
-	}
-	return out
-}
-
 // refusal returns why no task may start now, empty if one may.
 func (a *Agent) refusal(now time.Time) zinniasill.Reason {
 	switch {
--- a/core/agent/offer.go
+++ b/core/agent/offer.go
@@ -11,17 +11,22 @@
 // admit returns the job that a message of its owner is about, and creates its
 // record if needed. It returns nil when the message must not be answered: it is
 // not from the owner of its term, or the record of a start may have been dropped
-// with its epoch, so that no answer would be true.
+// with its epoch, so that no answer would be true. A job without room is not kept:
+// nothing of it has started here or ever will.
 func (a *Agent) admit(from zinniasill.Node, key zinniasill.Key, term zinniasill.Term, epoch zinniasill.Epoch) *job {
-	j := a.jobs[key]
+	j := a.find(key)
 	if j == nil {
 		if epoch < a.oldest {
 			a.count(CounterExpired, "")
 			return nil
 		}
 		j = &job{key: key, epoch: epoch, term: term, owner: from, tasks: map[zinniasill.TaskIndex]*task{}}
+		if !a.hasRoom(epoch) {
+			j.full = true
+			return j
+		}
 		a.jobs[key] = j
-		a.epochs[epoch] = append(a.epochs[epoch], j)
+		a.touch(j)
 	}
 	if term > j.term {
 		a.adopt(j, from, term)
@@ -53,27 +58,31 @@
 	if j == nil {
 		return
 	}
+	kind := replyOffer
 	refs := make([]message.TaskRef, len(o.Tasks))
 	for i, item := range o.Tasks {
 		refs[i] = item.Ref
-		if o.Term == j.term {
-			a.offerTask(now, j, &o, item)
+		if o.Term != j.term || !a.offerTask(now, j, &o, item) {
+			kind = replyAgain
 		}
 	}
-	a.reply(from, replyOffer, j, o.Term, refs)
+	a.reply(from, kind, j, o.Term, refs)
 }
 
 // offerTask takes one attempt of a task, unless the task has started, or the
-// attempt or a later one is known already.
-func (a *Agent) offerTask(now time.Time, j *job, o *message.Offer, item message.TaskOffer) {
+// attempt or a later one is known already. It reports whether the attempt is new.
+func (a *Agent) offerTask(now time.Time, j *job, o *message.Offer, item message.TaskOffer) bool {
 	t := a.record(j, o.Term, item.Ref)
 	if t == nil {
-		return
+		return false
 	}
 	t.profile = o.Profile
 	t.payload = item.Payload
 	t.expected = o.ExpectedRunTime
 	reason := a.refusal(now)
+	if reason == "" && j.full {
+		reason = zinniasill.ReasonRecordsFull
+	}
 	if reason == "" && o.Kind != "" && !slices.Contains(a.kinds, o.Kind) {
 		reason = zinniasill.ReasonNoEndpoint
 	}
@@ -88,8 +97,10 @@
 	default:
 		a.step(t, eventQueue)
 		t.queuedAt = now
+		t.yield = yield(o.ExpectedRunTime, len(o.Tasks), o.Slack)
 		a.queue.push(t)
 	}
+	return true
 }
 
 // record returns the task in state offered for a new attempt, or nil when the
@@ -100,6 +111,9 @@
 	case t == nil:
 		t = &task{job: j, index: ref.Index, state: taskChart.Initial()}
 		j.tasks[ref.Index] = t
+		if !j.full {
+			a.live++
+		}
 	case t.started() || !t.olderThan(term, ref.Attempt):
 		return nil
 	default:
@@ -142,7 +156,7 @@
 }
 
 func (a *Agent) fence(from zinniasill.Node, f message.Fence) {
-	if a.jobs[f.Key] == nil && f.Epoch < a.oldest {
+	if a.find(f.Key) == nil && f.Epoch < a.oldest {
 		a.send(from, message.FenceReply{Key: f.Key, Term: f.Term, Load: a.load(), Expired: true})
 		return
 	}
--- a/core/agent/report.go
+++ b/core/agent/report.go
@@ -12,6 +12,10 @@
 
 const (
 	replyOffer replyKind = iota
+	// replyGrant tells that granted tasks have started.
+	replyGrant
+	// replyAgain answers a repeated offer or grant.
+	replyAgain
 	replyWithdraw
 	replyFence
 )
@@ -23,42 +27,21 @@
 	job  *job
 	term zinniasill.Term
 	refs []message.TaskRef
+	// due is when a reply that is kept back leaves at the latest.
+	due time.Time
 }
 
 func (a *Agent) reply(to zinniasill.Node, kind replyKind, j *job, term zinniasill.Term, refs []message.TaskRef) {
 	a.replies = append(a.replies, reply{to: to, kind: kind, job: j, term: term, refs: refs})
 }
 
-// flushReplies writes the answers. They wait while Runs has not yet decided on
-// tasks, because an answer could then be wrong in either direction.
-func (a *Agent) flushReplies() {
-	if len(a.pending) > 0 {
-		return
-	}
-	for _, r := range a.replies {
-		key := r.job.key
-		switch r.kind {
-		case replyOffer:
-			a.send(r.to, message.OfferReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
-		case replyWithdraw:
-			a.send(r.to, message.WithdrawReply{Key: key, Term: r.term, Tasks: r.statuses(), Load: a.load()})
-		case replyFence:
-			a.send(r.to, message.FenceReply{
-				Key: key, Term: r.term, Fenced: r.job.term, Tasks: startedTasks(r.job), Load: a.load(),
-			})
-		}
-	}
-	clear(a.replies)
-	a.replies = a.replies[:0]
-}
-
-func (r reply) statuses() []message.TaskStatus {
+func (a *Agent) statuses(r reply) []message.TaskStatus {
 	statuses := make([]message.TaskStatus, len(r.refs))
 	for i, ref := range r.refs {
 		t := r.job.tasks[ref.Index]
 		switch {
 		case t != nil:
-			statuses[i] = t.status(r.term, ref)
+			statuses[i] = a.status(t, r.term, ref)
 		case r.term < r.job.term:
 			statuses[i] = message.TaskStatus{Ref: ref, State: message.TaskClosed, Reason: zinniasill.ReasonSuperseded}
 		default:
@@ -68,11 +51,11 @@
 	return statuses
 }
 
-func startedTasks(j *job) []message.TaskStatus {
+func (a *Agent) startedTasks(j *job) []message.TaskStatus {
 	var statuses []message.TaskStatus
 	for _, t := range sortedTasks(j) {
 		if t.started() {
-			statuses = append(statuses, t.status(t.term, t.ref()))
+			statuses = append(statuses, a.status(t, t.term, t.ref()))
 		}
 	}
 	return statuses
@@ -87,7 +70,8 @@
 	j := t.job
 	j.unacked = append(j.unacked, t)
 	j.fresh = append(j.fresh, t)
-	if len(j.fresh) == 1 {
+	if !j.changed {
+		j.changed = true
 		a.fresh = append(a.fresh, j)
 	}
 	if !j.reporting {
@@ -107,7 +91,7 @@
 }
 
 func (a *Agent) acknowledge(from zinniasill.Node, ack message.ResultAck) {
-	j := a.jobs[ack.Key]
+	j := a.find(ack.Key)
 	if j == nil || j.owner != from || j.term != ack.Term {
 		return
 	}
@@ -123,23 +107,11 @@
 	}
 }
 
-// flushResults sends each new result once; resendResults repeats it.
-func (a *Agent) flushResults() {
-	for _, j := range a.fresh {
-		a.sendResult(j, j.fresh)
-		j.reportAt = a.now.Add(resendWait)
-		clear(j.fresh)
-		j.fresh = j.fresh[:0]
-	}
-	clear(a.fresh)
-	a.fresh = a.fresh[:0]
-}
-
 func (a *Agent) sendResult(j *job, tasks []*task) {
 	statuses := make([]message.TaskStatus, 0, len(tasks))
 	for _, t := range tasks {
 		if t.unacked {
-			statuses = append(statuses, t.status(t.term, t.ref()))
+			statuses = append(statuses, a.status(t, t.term, t.ref()))
 		}
 	}
 	if len(statuses) > 0 {
@@ -151,6 +123,7 @@
 	a.reporting = slices.DeleteFunc(a.reporting, func(j *job) bool {
 		if len(j.unacked) == 0 {
 			j.reporting = false
+			a.touch(j)
 			return true
 		}
 		if !now.Before(j.reportAt) && len(j.fresh) == 0 {
@@ -165,7 +138,7 @@
 // only a takeover will acknowledge them.
 func (a *Agent) resendAfter(j *job) time.Duration {
 	if a.ownerAlive(j) {
-		return resendWait
+		return resultWait
 	}
 	return deadOwnerWait
 }
--- a/core/job/answer.go
+++ b/core/job/answer.go
@@ -16,7 +16,8 @@
 	switch reason {
 	case zinniasill.ReasonUnknownProfile, zinniasill.ReasonTooLarge, zinniasill.ReasonBadRequest:
 		answer.Retry = zinniasill.RetryNone
-	case zinniasill.ReasonOverload, zinniasill.ReasonQuota, zinniasill.ReasonNoEndpoint, zinniasill.ReasonDeadline:
+	case zinniasill.ReasonOverload, zinniasill.ReasonQuota, zinniasill.ReasonNoEndpoint, zinniasill.ReasonDeadline,
+		zinniasill.ReasonRecordsFull:
 		answer.RetryAfter = minRetryAfter + c.backoff(refusalBackoff)
 	default:
 	}
@@ -36,6 +37,8 @@
 		return "the team has too many tasks in flight"
 	case zinniasill.ReasonNoEndpoint:
 		return "no endpoint in service serves profile " + string(profile)
+	case zinniasill.ReasonRecordsFull:
+		return "the entry keeps no more records of jobs"
 	case zinniasill.ReasonLeaseExpired:
 		return "the entry is cut off from control"
 	case zinniasill.ReasonShuttingDown:
@@ -91,6 +94,12 @@
 	}
 }
 
+// claimsFull is the answer when the key can't be decided for want of room. A member
+// of the group may hold the claim already, so that another entry may run the job.
+func claimsFull() message.Answer {
+	return unsettled(zinniasill.ReasonRecordsFull, "the agents that hold the claim keep no more records")
+}
+
 // refusedForGood is the answer of a key whose register holds a final refusal.
 func refusedForGood(reason zinniasill.Reason) message.Answer {
 	return message.Answer{
@@ -105,72 +114,3 @@
 		Message: "the job completed and its answer is no longer kept",
 	}
 }
-
-// kept bounds the answered records and the outputs in their answers. The oldest
-// go first.
-type kept struct {
-	bytesLimit   int
-	recordsLimit int
-	bytes        int
-	// outputs are the records with outputs, all are all answered records.
-	outputs []*record
-	all     []*record
-}
-
-// add keeps a record's answer and returns the records whose answers must go.
-func (k *kept) add(r *record) []*record {
-	k.all = append(k.all, r)
-	size := outputBytes(r)
-	if size == 0 {
-		return nil
-	}
-	k.outputs = append(k.outputs, r)
-	k.bytes += size
-	var evicted []*record
-	for k.bytes > k.bytesLimit {
-		oldest := k.outputs[0]
-		k.outputs = k.outputs[1:]
-		if size := outputBytes(oldest); size > 0 {
-			k.bytes -= size
-			evicted = append(evicted, oldest)
-		}
-	}
-	return evicted
-}
-
-// surplus returns a record to forget, or nil.
-func (k *kept) surplus() *record {
-	if len(k.all) <= k.recordsLimit {
-		return nil
-	}
-	oldest := k.all[0]
-	k.all = k.all[1:]
-	k.remove(oldest)
-	return oldest
-}
-
-// remove ends the count of a record's outputs.
-func (k *kept) remove(r *record) {
-	k.bytes -= outputBytes(r)
-	r.forgotten = true
-	for len(k.outputs) > 0 && outputBytes(k.outputs[0]) == 0 {
-		k.outputs = k.outputs[1:]
-	}
-	for len(k.all) > 0 && k.all[0].forgotten {
-		k.all = k.all[1:]
-	}
-}
-
-// outputBytes is the size that a record's answer counts for. The overhead keeps
-// many small outputs from exceeding the limit.
-func outputBytes(r *record) int {
-	if r.forgotten || r.answer == nil || !r.answer.Complete {
-		return 0
-	}
-	const overhead = 64
-	size := overhead
-	for _, output := range r.answer.Outputs {
-		size += len(output) + overhead/2
-	}
-	return size
-}
--- a/core/job/coordinator.go
+++ b/core/job/coordinator.go
@@ -8,6 +8,7 @@
 
 	"zinniasill"
 	"zinniasill/core/admission"
+	"zinniasill/core/archive"
 	"zinniasill/core/catalog"
 	"zinniasill/core/claim"
 	"zinniasill/core/message"
@@ -81,9 +82,9 @@
 type Limits struct {
 	// AnswerBytes bounds the outputs in kept answers, 32 MiB by default.
 	AnswerBytes int
-	// Records bounds the kept records of answered jobs, 100,000 by default. They take
-	// about 0.5 KB each.
-	Records int
+	// RecordBytes bounds the records of jobs, 16 MiB by default. From there on new jobs
+	// are refused; a record is never dropped before its epoch.
+	RecordBytes int
 	// Candidates bounds the agents that one job is spread over, 256 by default.
 	Candidates int
 }
@@ -100,18 +101,22 @@
 
 // Coordinator is the state machine of all jobs at one entry. Use New.
 type Coordinator struct {
-	cfg       Config
-	rules     rules
-	views     *placement.Views
-	times     *admission.RunTimes
-	quotas    *admission.Quotas
-	budget    *admission.Budget
-	groups    map[zinniasill.Epoch]*claim.Groups
+	cfg    Config
+	rules  rules
+	views  *placement.Views
+	times  *admission.RunTimes
+	quotas *admission.Quotas
+	budget *admission.Budget
+	groups map[zinniasill.Epoch]*claim.Groups
+	// jobs are those without an answer or whose key may be submitted again, and ended
+	// the encoded others.
 	jobs      map[zinniasill.Key]*record
+	ended     archive.Archive
+	outputs   archive.Outputs[[][]byte]
 	waiting   map[RequestID]*record
 	timers    timers
-	kept      kept
 	outbox    []message.Envelope
+	deferred  deferred
 	replies   []Reply
 	inquiries []*inquiry
 	found     []Found
@@ -125,8 +130,8 @@
 
 // New returns a coordinator without jobs.
 func New(cfg Config) *Coordinator {
-	cfg.Limits.AnswerBytes = cmp.Or(cfg.Limits.AnswerBytes, 32<<20)
-	cfg.Limits.Records = cmp.Or(cfg.Limits.Records, 100_000)
+	cfg.Limits.AnswerBytes = cmp.Or(cfg.Limits.AnswerBytes, defaultAnswerLimit)
+	cfg.Limits.RecordBytes = cmp.Or(cfg.Limits.RecordBytes, DefaultRecordLimit)
 	cfg.Limits.Candidates = cmp.Or(cfg.Limits.Candidates, 256)
 	c := &Coordinator{cfg: cfg, rules: defaultRules()}
 	c.reset()
@@ -142,7 +147,9 @@
 	c.jobs = map[zinniasill.Key]*record{}
 	c.waiting = map[RequestID]*record{}
 	c.timers = nil
-	c.kept = kept{bytesLimit: c.cfg.Limits.AnswerBytes, recordsLimit: c.cfg.Limits.Records}
+	c.deferred = deferred{}
+	c.ended = archive.Archive{}
+	c.outputs = archive.Outputs[[][]byte]{Budget: c.cfg.Limits.AnswerBytes}
 	c.revision = 0
 }
 
@@ -163,13 +170,6 @@
 	c.reset()
 }
 
-// Outbox returns and clears the messages to send.
-func (c *Coordinator) Outbox() []message.Envelope {
-	out := c.outbox
-	c.outbox = nil
-	return claim.Batch(out)
-}
-
 // Replies returns and clears the answers to waiting callers.
 func (c *Coordinator) Replies() []Reply {
 	out := c.replies
@@ -178,8 +178,9 @@
 }
 
 // Drain makes the coordinator refuse new jobs and finish the ones in flight.
-func (c *Coordinator) Drain(_ time.Time) {
+func (c *Coordinator) Drain(now time.Time) {
 	c.draining = true
+	c.sendDue(now.Add(ackWait))
 }
 
 // Idle reports whether no caller waits and no owned job is in flight.
@@ -200,6 +201,12 @@
 	if env.To.ID != c.cfg.Self.ID || env.To.Incarnation != 0 && env.To != c.cfg.Self {
 		return
 	}
+	if _, ok := env.Body.(message.Bundle); ok {
+		for _, part := range message.Split([]message.Envelope{env}) {
+			c.Receive(now, part)
+		}
+		return
+	}
 	c.refresh(now)
 	switch body := env.Body.(type) {
 	case message.ClaimReply:
@@ -208,6 +215,8 @@
 		for _, reply := range body.Replies {
 			c.claimReply(now, env.From, reply)
 		}
+	case message.LoadReport:
+		c.views.Report(now, env.From, body.Load)
 	case message.OfferReply:
 		c.views.Report(now, env.From, body.Load)
 		c.statuses(now, env.From, body.Key, body.Term, body.Tasks)
@@ -239,6 +248,7 @@
 func (c *Coordinator) Tick(now time.Time) {
 	c.refresh(now)
 	c.endInquiries(now)
+	c.sendDue(now)
 	for {
 		r := c.timers.pop(now)
 		if r == nil {
--- a/core/job/real_test.go
+++ b/core/job/real_test.go
@@ -19,12 +19,12 @@
 	running []zinniasill.Task
 }
 
-// useRealAgents replaces the naive agents.
-func (w *world) useRealAgents() {
+// useRealAgents replaces the naive agents. A limit of 0 is the default.
+func (w *world) useRealAgents(recordLimit int) {
 	for _, fake := range w.agents {
 		lease := &fixedLease{valid: true, world: w}
 		entry := w.versions[0].Nodes[fake.node.ID]
-		machine := agent.New(agent.Config{Self: fake.node, Domain: entry.Domain, Lease: lease, Counters: w.counts})
+		machine := agent.New(agent.Config{Self: fake.node, Domain: entry.Domain, Lease: lease, Counters: w.counts, RecordLimit: recordLimit})
 		machine.SetEndpoint(w.now, entry.Slots, entry.Kinds, true)
 		fake.real = &realAgent{Agent: machine, world: w, lease: lease}
 	}
@@ -36,7 +36,7 @@
 		r.world.started(run.Key, run.Index)
 		r.running = append(r.running, run)
 	}
-	r.world.flight = append(r.world.flight, r.Outbox()...)
+	r.world.flight = append(r.world.flight, message.Split(r.Outbox())...)
 }
 
 func (r *realAgent) receive(from, to zinniasill.Node, body any) {
@@ -45,16 +45,17 @@
 }
 
 // read asks the agent for a register on behalf of the test.
-func (r *realAgent) read(node zinniasill.Node, register message.Register) message.ClaimReply {
+func (r *realAgent) read(node zinniasill.Node, register message.Register) (reply message.ClaimReply) {
 	test := zinniasill.Node{ID: "test"}
 	r.Receive(r.world.now, message.Envelope{From: test, To: node, Body: message.ClaimRead{Register: register}})
-	for _, env := range r.Outbox() {
-		if env.To == test {
-			return env.Body.(message.ClaimReply)
+	for _, env := range message.Split(r.Outbox()) {
+		if env.To != test {
+			r.world.flight = append(r.world.flight, env)
+		} else if answer, ok := env.Body.(message.ClaimReply); ok {
+			reply = answer
 		}
-		r.world.flight = append(r.world.flight, env)
 	}
-	return message.ClaimReply{}
+	return reply
 }
 
 func (r *realAgent) tick() {
@@ -78,7 +79,8 @@
 // differently. The naive agent can't show that.
 func TestGuaranteesWithRealAgents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := runChaosWith(t, nil, (*world).useRealAgents)
+		limit := rapid.SampledFrom([]int{0, 0, 800, 3000}).Draw(t, "agent's records")
+		w := runChaosWith(t, nil, func(w *world) { w.useRealAgents(limit) })
 		for _, failure := range w.failures {
 			t.Error(failure)
 		}
@@ -101,7 +103,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(1, c.agents, c.slots, 1)
-			w.useRealAgents()
+			w.useRealAgents(0)
 			w.submit(w.entries[0], "a", "proof", c.tasks)
 			for range 100 {
 				w.settleAll(10 * time.Millisecond)
--- a/core/job/rolling_test.go
+++ b/core/job/rolling_test.go
@@ -53,7 +53,7 @@
 	old.real.flush()
 	w.settleUntil(t, "the handover", func() bool { return old.real.HandoverState() == agent.HandoverTaken })
 	next := newFakeAgent(zinniasill.Node{ID: old.node.ID, Incarnation: old.node.Incarnation + 1}, old.slots)
-	next.started, next.send = w.started, w.post
+	next.started, next.send, next.now = w.started, w.post, old.now
 	entry := w.versions[0].Nodes[old.node.ID]
 	entry.Node = next.node
 	w.change(func(cat *catalog.Catalog) {
@@ -78,7 +78,7 @@
 		agents := rapid.IntRange(3, 6).Draw(t, "agents")
 		tasks := rapid.IntRange(1, 8).Draw(t, "tasks")
 		w := newWorld(2, agents, 2, rapid.Uint64().Draw(t, "seed"))
-		w.useRealAgents()
+		w.useRealAgents(0)
 		// The owner dies before, during or after the job.
 		w.submit(w.entries[0], "a", "pull", tasks)
 		for range rapid.IntRange(0, 60).Draw(t, "before") {
--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -30,13 +30,15 @@
 }
 
 // withdraw closes the waiting and queued tasks, and asks the agents to close the
-// offered ones. A queued task can't start any more, since it gets no grant.
+// offered ones. A queued task can't start any more, since it gets no grant; its
+// withdrawal only frees the queue and can wait.
 func (c *Coordinator) withdraw(now time.Time, r *record) {
 	type place struct {
 		node zinniasill.Node
 		term zinniasill.Term
 	}
 	var order []place
+	urgent := map[place]bool{}
 	refs := map[place][]message.TaskRef{}
 	for i := range r.tasks {
 		t := &r.tasks[i]
@@ -47,13 +49,19 @@
 			}
 			refs[at] = append(refs[at], message.TaskRef{Index: zinniasill.TaskIndex(i), Attempt: t.attempt})
 			t.next = now.Add(resendAfter)
+			urgent[at] = urgent[at] || t.state == taskOffered
 		}
 		if t.state == taskWaiting || t.state == taskQueued {
 			r.setTask(t, taskClose)
 		}
 	}
 	for _, at := range order {
-		c.send(at.node, message.Withdraw{Key: r.key, Term: at.term, Epoch: r.epoch, Tasks: refs[at]})
+		withdraw := message.Withdraw{Key: r.key, Term: at.term, Epoch: r.epoch, Tasks: refs[at]}
+		if urgent[at] {
+			c.send(at.node, withdraw)
+		} else {
+			c.sendLater(now, at.node, withdraw, withdrawWait)
+		}
 	}
 }
 
@@ -174,7 +182,9 @@
 		}
 	}
 	c.answerWaiters(r, answer)
-	if !r.owned {
+	// An entry without room for records keeps none of its refusals. The register still
+	// holds a final one.
+	if !r.owned || r.refusal == zinniasill.ReasonRecordsFull {
 		c.drop(now, r)
 		return
 	}
@@ -183,27 +193,9 @@
 	r.answer = &answer
 	r.reopens = answer.Retry == zinniasill.RetrySameKey
 	c.replayRivals(now, r)
-	if r.reopens {
-		r.work = &work{priors: r.priors}
-	} else {
-		r.work = nil
-	}
 	c.keep(r)
 }
 
-// keep bounds the kept answers. The record that a job ran outlives its outputs. A
-// record that is forgotten is found again through its register: this entry then
-// takes its own job over, and the agents tell what ran.
-func (c *Coordinator) keep(r *record) {
-	for _, evicted := range c.kept.add(r) {
-		c.cfg.Counters.Inc(CounterEvicted, "")
-		evicted.answer = answerEvicted()
-	}
-	if oldest := c.kept.surplus(); oldest != nil && c.jobs[oldest.key] == oldest && oldest.answer != nil {
-		delete(c.jobs, oldest.key)
-	}
-}
-
 // answerWaiters answers every caller that waits for the job.
 func (c *Coordinator) answerWaiters(r *record, answer message.Answer) {
 	for _, id := range r.waiters {
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -14,7 +14,7 @@
 
 // Version is the version of the messages. A process refuses messages of
 // another version.
-const Version = 1
+const Version = 2
 
 // Limits of one job.
 const (
@@ -26,29 +26,35 @@
 	MaxBody = 8 << 20
 )
 
-// Envelope carries one message between two processes.
+// Envelope carries one message between two processes. Package peer owns its form on
+// the wire.
 type Envelope struct {
-	Version uint16               `cbor:"1,keyasint"`
-	Cluster zinniasill.ClusterID `cbor:"2,keyasint"`
-	From    zinniasill.Node      `cbor:"3,keyasint"`
+	Version uint16
+	Cluster zinniasill.ClusterID
+	From    zinniasill.Node
 	// To is the receiver. Incarnation 0 addresses any incarnation.
-	To zinniasill.Node `cbor:"4,keyasint"`
+	To zinniasill.Node
 	// Body is a value of one of the message types, never a pointer.
-	Body any `cbor:"5,keyasint"`
+	Body any
 }
 
 // Load is an agent's report on its own load.
 type Load struct {
 	Slots  int `cbor:"1,keyasint"`
-	Busy   int `cbor:"2,keyasint"`
-	Queued int `cbor:"3,keyasint"`
+	Busy   int `cbor:"2,keyasint,omitempty"`
+	Queued int `cbor:"3,keyasint,omitempty"`
 	// QueuedWork is the sum of the expected run times of the queued tasks.
-	QueuedWork time.Duration `cbor:"4,keyasint"`
+	QueuedWork time.Duration `cbor:"4,keyasint,omitempty"`
 	// RunningWork is the expected rest of the running tasks.
-	RunningWork time.Duration `cbor:"5,keyasint"`
+	RunningWork time.Duration `cbor:"5,keyasint,omitempty"`
 	// Failed and Succeeded count finished tasks since the agent started.
-	Failed    uint64 `cbor:"6,keyasint"`
-	Succeeded uint64 `cbor:"7,keyasint"`
+	Failed    uint64 `cbor:"6,keyasint,omitempty"`
+	Succeeded uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// LoadReport accompanies messages that carry no Load of their own.
+type LoadReport struct {
+	Load Load `cbor:"1,keyasint"`
 }
 
 // Renew asks a control replica for a lease and for changes after Known.
--- a/internal/proctest/load_test.go
+++ b/internal/proctest/load_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -99,7 +100,7 @@
 func countStarts(starts map[string]int, keys ...string) int {
 	count := 0
 	for id, n := range starts {
-		if slices.Contains(keys, jobOf(id)) {
+		if key, _, _ := strings.Cut(id, "/"); slices.Contains(keys, key) {
 			count += n
 		}
 	}
--- a/internal/proctest/steps_test.go
+++ b/internal/proctest/steps_test.go
@@ -71,7 +71,7 @@
 	defer h.mu.Unlock()
 	if strings.HasPrefix(to, "agent") {
 		h.agents = append(h.agents, to)
-		if bytes.Contains(data, []byte(taskID(h.key, 0))) {
+		if bytes.Contains(data, []byte(localcluster.TaskID(h.key, 0))) {
 			h.runner = to
 		}
 	}
