Reach every step of a waiting task in TestEachStep

Cause: a task that came too late for the taken slots started at once, needed fewer messages and ended its case: on a busy machine the cases in which the task waits mostly ended at the steps of a task that does not wait.

Change: a case ends only when three jobs in succession are answered before the same message, and the slots are taken for 300 ms instead of 150 ms. A check of the kinds of messages for a fetch was ruled out, since these are bundled and would tie the test to their encoding.

--- a/internal/proctest/steps_test.go
+++ b/internal/proctest/steps_test.go
@@ -143,21 +143,23 @@
 		t.Run(name, func(t *testing.T) {
 			steps := &holds{}
 			f := startBehind(t, 3, &localcluster.Network{Pass: steps.pass})
-			n, hit := 1, 0
-			for try := 1; ; try++ {
+			n, hit, answered := 1, 0, 0
+			for try := 1; answered < lastTries; try++ {
 				if tt.queued {
 					f.fillSlots(try)
 				}
 				h := steps.hold(fmt.Sprintf("step-%03d", try), n)
 				end := f.step(h, tt.victim, tt.frozen)
-				if end == stepAnswered {
-					break
-				}
-				if end == stepHeld || end == stepStruck {
-					n++
-				}
-				if end == stepStruck {
+				switch end {
+				case stepAnswered:
+					answered++
+				case stepStruck:
 					hit++
+					fallthrough
+				case stepHeld:
+					n++
+					answered = 0
+				case stepRefused:
 				}
 			}
 			t.Logf("the job was answered before message %d; the process was lost at %d steps", n, hit)
@@ -168,10 +170,18 @@
 	}
 }
 
+const (
+	// lastTries is the number of jobs in succession that are answered before the same
+	// message at the end: one that was late for the taken slots needs fewer messages.
+	lastTries = 3
+	// fillMS is the time in milliseconds for which all slots are taken.
+	fillMS = 300
+)
+
 // fillSlots has all slots taken for a while. Verdicts don't depend on its success.
 func (f *fixture) fillSlots(try int) {
 	f.Helper()
-	job := newJob(fmt.Sprintf("filler-%03d", try), len(f.Agents)*slots, 150)
+	job := newJob(fmt.Sprintf("filler-%03d", try), len(f.Agents)*slots, fillMS)
 	done := make(chan struct{})
 	f.Cleanup(func() { <-done })
 	go func() {
