Advise by the profile for jobs that came before the configuration

Change: such a job takes over its profile when its look-ups begin. Ruled out: refusing jobs before the first configuration at once, since a job that another entry holds must be found first.

job.TestProfileLearnedLate answers retry: none without the change.

Conclusion: the advice is that of the profile.

--- a/core/job/claiming.go
+++ b/core/job/claiming.go
@@ -15,6 +15,11 @@
 func (c *Coordinator) begin(now time.Time, r *record) {
 	cat := c.cfg.Lease.Catalog()
 	r.lookups = nil
+	// A job that came before the entry's first configuration has only the profile's
+	// name, and would be told not to submit again whatever its profile allows.
+	if profile, ok := cat.Profiles[r.ran]; ok && r.profile.Kind == "" {
+		r.profile = profile
+	}
 	r.current = cat.CurrentEpoch()
 	if expired(cat, r.stamp) {
 		c.settle(now, r, keyExpired(r.profile))
--- a/core/job/refusal_test.go
+++ b/core/job/refusal_test.go
@@ -196,6 +196,23 @@
 	}
 }
 
+// Guards against advice that ignores the profile because the job came before the
+// entry's first configuration, as after a restart.
+func TestProfileLearnedLate(t *testing.T) {
+	w := newWorld(1, 6, 2, 1)
+	entry := w.entries[0]
+	sub := w.submission(entry, "a", "proof", 1)
+	w.versions = append([]*catalog.Catalog{catalog.New()}, w.versions...)
+	entry.lease.valid = false
+	w.submitTo(entry, sub)
+	w.killGroup("a", 2)
+	w.settleAll(time.Second)
+	w.check(t)
+	if len(w.answers) != 1 || w.answers[0].Code != zinniasill.ReasonRecordLost || w.answers[0].Retry != zinniasill.RetryNewKey {
+		t.Fatalf("answers %+v", w.answers)
+	}
+}
+
 // Guards against a refusal of a job that another entry has taken.
 func TestRefusalJoinsAClaimedJob(t *testing.T) {
 	w := newWorld(2, 6, 2, 1)
