Offer nothing more to an agent that does not answer

Cause: until control declares an agent dead, which takes 3 s, entries went on offering tasks to it, and each of them became unknown.

Change: an entry passes over an agent that has not reported for 300 ms since an offer, and offers it one task every 3 s until it reports. Replies are kept back for 150 ms at most.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -222,3 +222,41 @@
 		t.Fatalf("waits %s at last, want %s", last, probeMax)
 	}
 }
+
+// TestSilentAgentGetsRetriesOnly guards against tasks that become unknown because they
+// are offered to an agent that has stopped answering and is not yet declared dead, and
+// against an agent that is passed over for good.
+func TestSilentAgentGetsRetriesOnly(t *testing.T) {
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		// offers and reports are the times of offers to the agent and of its reports.
+		offers, reports []time.Duration
+		at              time.Duration
+		want            bool
+	}{
+		"never asked":               {at: time.Hour, want: true},
+		"answer on its way":         {offers: []time.Duration{0, 200 * ms}, at: 299 * ms, want: true},
+		"no answer":                 {offers: []time.Duration{0, 200 * ms}, at: 300 * ms, want: false},
+		"answered":                  {offers: []time.Duration{0}, reports: []time.Duration{250 * ms}, at: time.Second, want: true},
+		"first retry":               {offers: []time.Duration{0}, at: silentRetry, want: true},
+		"after a retry":             {offers: []time.Duration{0, silentRetry}, at: 2*silentRetry - ms, want: false},
+		"second retry":              {offers: []time.Duration{0, silentRetry}, at: 2 * silentRetry, want: true},
+		"answered after two offers": {offers: []time.Duration{0, silentRetry}, reports: []time.Duration{silentRetry + ms}, at: silentRetry + 2*ms, want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			views, _ := newViews(1)
+			for _, at := range c.offers {
+				views.Placed(start.Add(at), node(0))
+			}
+			for _, at := range c.reports {
+				views.Report(start.Add(at), node(0), message.Load{Slots: 10})
+			}
+			now := start.Add(c.at)
+			_, picked := views.Pick(now, Request{Profile: proof})
+			if picked != c.want || views.Takes(now, node(0)) != c.want {
+				t.Fatalf("picked %t, takes %t, want %t", picked, views.Takes(now, node(0)), c.want)
+			}
+		})
+	}
+}
--- a/core/placement/views.go
+++ b/core/placement/views.go
@@ -23,6 +23,17 @@
 // agents for each job would cost more than the rest of its admission.
 const totalsAge = 5 * time.Millisecond
 
+const (
+	// silentAfter is the time without an answer to an offer after which an agent gets
+	// no further ones. Agents keep replies back for up to 150 ms. Control takes 3 s to
+	// declare an agent dead, and every task offered until then is unknown.
+	silentAfter = 300 * time.Millisecond
+	// silentRetry is the time between offers to a silent agent, in which control would
+	// declare a dead one dead. Without them an agent whose answers were lost with jobs
+	// that have ended would be passed over for good.
+	silentRetry = 3 * time.Second
+)
+
 // Config configures Views.
 type Config struct {
 	Picker zinniasill.Picker
@@ -68,6 +79,9 @@
 	// counts the probes that failed since the last success.
 	probing      bool
 	failedProbes int
+	// offeredAt is the time of the first offer since the agent's last report, and
+	// retryAt the earliest time of the next one while the agent is silent.
+	offeredAt, retryAt time.Time
 }
 
 // group is the list of eligible agents of one profile at one revision.
@@ -145,6 +159,7 @@
 	a.QueuedWork = load.QueuedWork
 	a.RunningWork = load.RunningWork
 	a.Reported = now
+	a.offeredAt = time.Time{}
 }
 
 // Offered counts tasks that were given to an agent and that its next report can't
@@ -171,20 +186,39 @@
 // Placed tells that a task was offered to an agent. A failing agent gets no other
 // until the outcome is known. The bound keeps a lost outcome from ending the probes.
 func (v *Views) Placed(now time.Time, node zinniasill.Node) {
-	if a := v.agent(node); a != nil && a.Failing {
+	a := v.agent(node)
+	if a == nil {
+		return
+	}
+	if a.Failing {
 		a.probeAt = now.Add(probeTimeout)
 		a.probing = true
 	}
+	if a.offeredAt.IsZero() {
+		a.offeredAt = now
+		a.retryAt = now.Add(silentRetry)
+	} else if a.silent(now) {
+		a.retryAt = now.Add(silentRetry)
+	}
 }
 
-// Takes reports whether an agent may be offered a task: it serves, and it is not
-// failing or is due for a probe.
+// Takes reports whether an agent may be offered a task: it serves, and it is neither
+// failing nor silent or is due for a probe.
 func (v *Views) Takes(now time.Time, node zinniasill.Node) bool {
 	a := v.agent(node)
-	if a == nil || !a.serving {
+	switch {
+	case a == nil || !a.serving:
+		return false
+	case a.silent(now) && now.Before(a.retryAt):
 		return false
+	default:
+		return !a.Failing || !now.Before(a.probeAt)
 	}
-	return !a.Failing || !now.Before(a.probeAt)
+}
+
+// silent reports whether the agent has not answered for silentAfter.
+func (a *agent) silent(now time.Time) bool {
+	return !a.offeredAt.IsZero() && now.Sub(a.offeredAt) >= silentAfter
 }
 
 // Pick chooses an agent for one task. It returns false when no agent is eligible
@@ -196,7 +230,7 @@
 		agents = v.among(g, request.Among)
 	}
 	usable := func(view *zinniasill.AgentView) bool {
-		if view.Failing && (view.Unanswered > 0 || !v.Takes(now, view.Node)) {
+		if view.Failing && view.Unanswered > 0 || !v.Takes(now, view.Node) {
 			return false
 		}
 		return request.Exclude == nil || !request.Exclude(view.Node)
