Read the lease together with the catalog before a run is written

Cause: before each run, and for readiness, the roles asked the keeper for the lease and for the catalog in two calls. lease.Holder.Current gives both at one moment and was called by nobody; the two readiness checks read the catalog first, which the package warns of.

Change: Keeper.Current passes it on, and the three places use it. Ruled out: keeping the order right at each caller. No behaviour changes but for the moment in between.

Conclusion: one call for lease and catalog.

--- a/io/node/agent.go
+++ b/io/node/agent.go
@@ -161,8 +161,8 @@
 // mayStart checks the lease and the failure domain once more, as the last step
 // before a task goes to the endpoint. The goroutines of the runs call it.
 func (a *Agent) mayStart() bool {
-	valid := a.keeper.Valid(a.cfg.Clock.Now())
-	return valid && a.keeper.Catalog().DomainIn(a.cfg.Report.Domain)
+	cat, valid := a.keeper.Current(a.cfg.Clock.Now())
+	return valid && cat.DomainIn(a.cfg.Report.Domain)
 }
 
 // restart discards the state of an incarnation that was declared dead. Its runs are
@@ -175,11 +175,10 @@
 
 // Ready returns an error that says why the agent gets no work.
 func (a *Agent) Ready() error {
-	now := a.cfg.Clock.Now()
-	cat := a.keeper.Catalog()
+	cat, valid := a.keeper.Current(a.cfg.Clock.Now())
 	entry, listed := cat.Nodes[a.cfg.Report.Node.ID]
 	switch {
-	case !a.keeper.Valid(now):
+	case !valid:
 		return eris.New("no valid lease from control")
 	case !listed || entry.Slots == 0:
 		return eris.New("no endpoint has announced itself")
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -168,10 +168,9 @@
 
 // Ready returns an error that says why the entry should get no new jobs.
 func (e *Entry) Ready() error {
-	now := e.cfg.Clock.Now()
-	cat := e.keeper.Catalog()
+	cat, valid := e.keeper.Current(e.cfg.Clock.Now())
 	switch {
-	case !e.keeper.Valid(now):
+	case !valid:
 		return eris.New("no valid lease from control")
 	case !cat.DomainIn(e.cfg.Report.Domain):
 		return eris.Errorf("failure domain %s is out of service", e.cfg.Report.Domain)
--- a/io/node/keeper.go
+++ b/io/node/keeper.go
@@ -118,6 +118,11 @@
 	return k.used.Load().Valid(now)
 }
 
+// Current returns the role's catalog together with the validity of its lease at now.
+func (k *Keeper) Current(now time.Time) (*catalog.Catalog, bool) {
+	return k.used.Load().Current(now)
+}
+
 // Catalog returns the role's catalog, which after the death of its incarnation is
 // the last one of that incarnation until TakeRestart.
 func (k *Keeper) Catalog() *catalog.Catalog {
