Leave out the last pause in the pause itself

Change: pause returns at once after the last attempt, and both loops are as they were before. TestLastRefusalIsNotAwaited is unchanged and passes.

Conclusion: one rule for both loops.

--- a/client/client.go
+++ b/client/client.go
@@ -143,9 +143,6 @@
 		}
 		last = err
 		c.moveOn()
-		if attempt+1 == c.cfg.Attempts {
-			break
-		}
 		if err := c.pause(ctx, attempt, 0); err != nil {
 			return 0, err
 		}
@@ -197,12 +194,10 @@
 			sent = sent || reply.refusal.Ran != zinniasill.NotRun
 			c.moveOn()
 		}
-		if attempt++; attempt == c.cfg.Attempts {
-			break
-		}
-		if err := c.pause(ctx, attempt-1, retryAfter(last)); err != nil {
+		if err := c.pause(ctx, attempt, retryAfter(last)); err != nil {
 			return Answer{}, unknown(job.Key, err)
 		}
+		attempt++
 	}
 	return Answer{}, exhausted(job.Key, last)
 }
@@ -273,8 +268,12 @@
 }
 
 // pause waits before the next attempt: at least least, and a random part of a
-// doubling back-off, so that clients refused together do not return together.
+// doubling back-off, so that clients refused together do not return together. After
+// the last attempt there is nothing to wait for.
 func (c *Client) pause(ctx context.Context, attempt int, least time.Duration) error {
+	if attempt+1 >= c.cfg.Attempts {
+		return nil
+	}
 	backoff := min(firstBackoff<<min(attempt, 10), maxBackoff)
 	c.mu.Lock()
 	jitter := time.Duration(c.cfg.Rand.Int64N(int64(backoff)))
