Use one wait, one task id and one read in the programs

Cause: cmd/load waited for a time or the end of a context in four places and built task ids that localcluster.TaskID has, as cmd/demo did; the operators' client repeated one read for each object; chart.Can was called by nobody.

Change: cmd/load has one pause, the programs use TaskID, the client has one generic read, and chart.Can is gone. Ruled out: one function for putDomain and putEndpoint, whose commands have different types.

Conclusion: less to read, same behaviour.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -103,7 +103,7 @@
 func (d *demo) job(key string, tasks int) client.Job {
 	job := client.Job{Key: key, Profile: profile}
 	for i := range tasks {
-		payload := stubendpoint.Payload{ID: key + "/" + strconv.Itoa(i), RunMS: taskRunMS}
+		payload := stubendpoint.Payload{ID: localcluster.TaskID(key, i), RunMS: taskRunMS}
 		job.Tasks = append(job.Tasks, payload.Encode())
 		d.want[payload.ID] = true
 	}
@@ -117,7 +117,7 @@
 		return err
 	}
 	for i, output := range answer.Outputs {
-		want := stubendpoint.Payload{ID: job.Key + "/" + strconv.Itoa(i)}.Output()
+		want := stubendpoint.Payload{ID: localcluster.TaskID(job.Key, i)}.Output()
 		if string(output) != string(want) {
 			return eris.Errorf("output %d of job %s is %q", i, job.Key, output)
 		}
--- a/cmd/load/changes.go
+++ b/cmd/load/changes.go
@@ -56,10 +56,7 @@
 	case ctx.Err() == nil:
 		p.refused++
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(changePeriod):
-	}
+	pause(ctx, changePeriod)
 }
 
 // stop ends the changes, whose results may then be read.
--- a/cmd/load/overload.go
+++ b/cmd/load/overload.go
@@ -113,7 +113,7 @@
 	began := time.Now()
 	for at, n := time.Duration(0), 0; at < o.step && ctx.Err() == nil; n++ {
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
-		sleepUntil(ctx, began.Add(at))
+		pause(ctx, at-time.Since(began))
 		slots <- struct{}{}
 		key := "overload-" + name + "-" + strconv.FormatInt(began.UnixNano(), 36) + "-" + strconv.Itoa(n)
 		jobs.Go(func() {
@@ -131,20 +131,11 @@
 }
 
 func submitUrgent(ctx context.Context, c *client.Client, key string, sent time.Time) (time.Duration, error) {
-	payload := stubendpoint.Payload{ID: key + "/0", RunMS: overloadRunMS}
+	payload := stubendpoint.Payload{ID: localcluster.TaskID(key, 0), RunMS: overloadRunMS}
 	_, err := c.Submit(ctx, client.Job{Key: key, Profile: urgent, Tasks: [][]byte{payload.Encode()}})
 	return time.Since(sent), err
 }
 
-func sleepUntil(ctx context.Context, due time.Time) {
-	timer := time.NewTimer(time.Until(due))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (r *overloadResult) report(name string, took time.Duration, results *table) {
 	slices.Sort(r.answered)
 	slices.Sort(r.refused)
--- a/cmd/load/regions.go
+++ b/cmd/load/regions.go
@@ -229,14 +229,10 @@
 }
 
 func (r *regionRun) wait(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause(ctx, length) {
 		return eris.Wrap(ctx.Err(), "measure regions")
 	}
+	return nil
 }
 
 // cutRegions drops everything between the processes of different regions.
--- a/cmd/load/starts.go
+++ b/cmd/load/starts.go
@@ -112,7 +112,7 @@
 	callers.Wait()
 	if s.rate > 0 {
 		// A step at a low rate may have no job due near its end.
-		d.pause(ctx, length-time.Since(began))
+		pause(ctx, length-time.Since(began))
 	}
 	result.took = time.Since(began)
 	slices.Sort(result.latencies)
@@ -129,11 +129,11 @@
 	if due >= length {
 		return false
 	}
-	return d.pause(ctx, due-time.Since(began))
+	return pause(ctx, due-time.Since(began))
 }
 
 // pause waits for a time. It reports false when ctx ends before.
-func (d *driver) pause(ctx context.Context, length time.Duration) bool {
+func pause(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
@@ -147,7 +147,7 @@
 func (d *driver) submit(ctx context.Context, c *client.Client, s step) (time.Duration, error) {
 	job := client.Job{Key: d.prefix + "-" + strconv.FormatInt(d.count.Add(1), 10), Profile: profile}
 	for i := range s.tasks {
-		payload := stubendpoint.Payload{ID: job.Key + "/" + strconv.Itoa(i), RunMS: s.runMS}
+		payload := stubendpoint.Payload{ID: localcluster.TaskID(job.Key, i), RunMS: s.runMS}
 		job.Tasks = append(job.Tasks, payload.Encode())
 	}
 	began := time.Now()
--- a/core/chart/chart.go
+++ b/core/chart/chart.go
@@ -114,12 +114,6 @@
 	return to, nil
 }
 
-// Can reports whether an event is possible in a state.
-func (c *Chart) Can(from State, event Event) bool {
-	_, ok := c.states[from][event]
-	return ok
-}
-
 func (c *Chart) findings() []string {
 	var found []string
 	if _, ok := c.states[c.initial]; !ok {
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -46,8 +46,7 @@
 
 // Profile returns a profile with its revision.
 func (c Client) Profile(ctx context.Context, name zinniasill.ProfileName) (catalog.Profile, error) {
-	var view ProfileView
-	err := c.do(ctx, http.MethodGet, path("profiles", string(name)), nil, &view)
+	view, err := get[ProfileView](ctx, c, path("profiles", string(name)))
 	profile := view.catalog()
 	profile.Revision = view.Revision
 	return profile, err
@@ -70,9 +69,7 @@
 
 // Domain returns the state of a failure domain.
 func (c Client) Domain(ctx context.Context, name zinniasill.Domain) (catalog.DomainEntry, error) {
-	var entry catalog.DomainEntry
-	err := c.do(ctx, http.MethodGet, path("domains", string(name)), nil, &entry)
-	return entry, err
+	return get[catalog.DomainEntry](ctx, c, path("domains", string(name)))
 }
 
 // PutDomain takes a failure domain out of service or returns it.
@@ -86,9 +83,7 @@
 
 // Endpoint returns what operators decided on an endpoint.
 func (c Client) Endpoint(ctx context.Context, name zinniasill.NodeID) (catalog.EndpointEntry, error) {
-	var entry catalog.EndpointEntry
-	err := c.do(ctx, http.MethodGet, path("endpoints", string(name)), nil, &entry)
-	return entry, err
+	return get[catalog.EndpointEntry](ctx, c, path("endpoints", string(name)))
 }
 
 // PutEndpoint makes an endpoint leave or serve.
@@ -102,9 +97,7 @@
 
 // Team returns the quota of a team.
 func (c Client) Team(ctx context.Context, name zinniasill.Team) (catalog.TeamEntry, error) {
-	var entry catalog.TeamEntry
-	err := c.do(ctx, http.MethodGet, path("teams", string(name)), nil, &entry)
-	return entry, err
+	return get[catalog.TeamEntry](ctx, c, path("teams", string(name)))
 }
 
 // PutTeam sets the quota of a team. A quota of 0 means no limit.
@@ -118,8 +111,7 @@
 
 // Members returns the control replicas.
 func (c Client) Members(ctx context.Context) ([]Member, error) {
-	var members Members
-	err := c.do(ctx, http.MethodGet, "/v1/members", nil, &members)
+	members, err := get[Members](ctx, c, "/v1/members")
 	return members.Members, err
 }
 
@@ -130,15 +122,19 @@
 
 // Status returns the state of the cluster.
 func (c Client) Status(ctx context.Context) (Status, error) {
-	var status Status
-	err := c.do(ctx, http.MethodGet, "/v1/status", nil, &status)
-	return status, err
+	return get[Status](ctx, c, "/v1/status")
 }
 
 func path(kind, name string) string {
 	return "/v1/" + kind + "/" + url.PathEscape(name)
 }
 
+func get[T any](ctx context.Context, c Client, path string) (T, error) {
+	var value T
+	err := c.do(ctx, http.MethodGet, path, nil, &value)
+	return value, err
+}
+
 func (c Client) change(ctx context.Context, method, path string, body any) (zinniasill.Revision, error) {
 	var accepted Accepted
 	err := c.do(ctx, method, path, body, &accepted)
