Add the state machines of jobs that are answered at their end

Cause: on the users' platform a caller waits for the end of its job, tasks ask for processor and memory, and endpoints are told each step under leases. The product knew slots, claims and endpoints that run a task in one call.

Change: core/executor supervises one endpoint (queue, room, lease, orders, ends), core/dispatch places and follows the jobs of one entry, core/stream orders the items between them, core/route finds the queue of a request, and control stores a whole configuration as a document whose highest version wins.

Ruled out: claims for these jobs; leases keep two runs from overlapping.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -140,6 +140,14 @@
 	Members []EpochMember    `cbor:"2,keyasint,omitempty" json:"members"`
 }
 
+// Document is a whole configuration that its writers keep under versions of their own,
+// beside the objects with a revision each. The catalog does not interpret it.
+type Document struct {
+	Version  zinniasill.DocumentVersion `cbor:"1,keyasint"`
+	Content  []byte                     `cbor:"2,keyasint"`
+	Revision zinniasill.Revision        `cbor:"3,keyasint"`
+}
+
 // Change is one accepted change. Exactly one of the pointers is set; the Delete
 // fields name what is removed.
 type Change struct {
@@ -155,6 +163,7 @@
 	Epoch      *EpochEntry            `cbor:"8,keyasint,omitempty"`
 	DropEpochs zinniasill.Epoch       `cbor:"9,keyasint,omitempty"`
 	DropName   zinniasill.ProfileName `cbor:"10,keyasint,omitempty"`
+	Document   *Document              `cbor:"12,keyasint,omitempty"`
 	// Handover also removes the stopped agent from the live nodes.
 	Handover *HostEntry `cbor:"11,keyasint,omitempty"`
 }
@@ -171,6 +180,8 @@
 	Epochs Epochs `cbor:"7,keyasint"`
 	// Hosts are the handovers of the retention window, by the stopped agent.
 	Hosts map[zinniasill.Node]HostEntry `cbor:"8,keyasint" json:"-"`
+	// Document has version 0 before the first one was stored.
+	Document Document `cbor:"9,keyasint,omitzero" json:"-"`
 }
 
 // New returns an empty catalog at revision 0.
@@ -204,6 +215,7 @@
 		Nodes:     maps.Clone(c.Nodes),
 		Epochs:    slices.Clone(c.Epochs),
 		Hosts:     maps.Clone(c.Hosts),
+		Document:  c.Document,
 	}
 }
 
@@ -233,6 +245,8 @@
 		c.dropEpochs(change.DropEpochs)
 	case change.DropName != "":
 		delete(c.Profiles, change.DropName)
+	case change.Document != nil:
+		c.Document = *change.Document
 	case change.Handover != nil:
 		c.Hosts[change.Handover.Node] = *change.Handover
 		c.removeNode(change.Handover.Node)
--- a/core/control/command.go
+++ b/core/control/command.go
@@ -11,10 +11,17 @@
 // CommandVersion is the version of the commands. It also covers the rules that
 // Apply checks commands by: replicas with different rules would diverge, so a
 // change of a rule needs a new version.
-const CommandVersion = 1
+const CommandVersion = 2
+
+// firstCommandVersion is the earliest version that is still applied. Version 2 added
+// the document; the rules of version 1 are unchanged.
+const firstCommandVersion = 1
+
+// MaxDocument is the highest size of a document in bytes.
+const MaxDocument = 256 << 10
 
 // MaxCommand is the highest size of an encoded command in bytes.
-const MaxCommand = 64 << 10
+const MaxCommand = MaxDocument + 64<<10
 
 // Errors of Decode. A replica that meets one in the log must stop: another
 // replica may have been able to apply the entry.
@@ -43,6 +50,7 @@
 	Epoch    *NewEpoch      `cbor:"10,keyasint,omitempty"`
 	Drop     *DropEpochs    `cbor:"11,keyasint,omitempty"`
 	Handover *Handover      `cbor:"12,keyasint,omitempty"`
+	Document *PutDocument   `cbor:"13,keyasint,omitempty"`
 }
 
 // PutProfile creates or replaces a profile. Base is the revision of the profile
@@ -108,6 +116,14 @@
 	Host zinniasill.Node `cbor:"2,keyasint"`
 }
 
+// PutDocument stores a whole configuration under a version that its writer chose. The
+// highest version wins; one that is not higher changes nothing and is no error, since
+// several writers send at the same time and send again after lost answers.
+type PutDocument struct {
+	Version zinniasill.DocumentVersion `cbor:"1,keyasint"`
+	Content []byte                     `cbor:"2,keyasint"`
+}
+
 // Limits of the decoder. They leave room for the lists of a snapshot.
 const (
 	maxNesting  = 16
@@ -175,7 +191,7 @@
 	if err := cbor.Unmarshal(data, &head); err != nil {
 		return Command{}, eris.Wrap(ErrCommandMalformed, err.Error())
 	}
-	if head.Version != CommandVersion {
+	if head.Version < firstCommandVersion || head.Version > CommandVersion {
 		return Command{}, eris.Wrapf(ErrCommandVersion, "version %d, known is %d", head.Version, CommandVersion)
 	}
 	var command Command
@@ -193,7 +209,7 @@
 	for _, set := range []bool{
 		c.Profile != nil, c.Delete != nil, c.Domain != nil, c.Endpoint != nil,
 		c.Team != nil, c.Register != nil, c.Dead != nil, c.Epoch != nil,
-		c.Drop != nil, c.Handover != nil,
+		c.Drop != nil, c.Handover != nil, c.Document != nil,
 	} {
 		if set {
 			count++
@@ -205,5 +221,6 @@
 // byOperator reports whether the command is an operator's, which needs a request
 // id.
 func (c Command) byOperator() bool {
-	return c.Profile != nil || c.Delete != nil || c.Domain != nil || c.Endpoint != nil || c.Team != nil
+	return c.Profile != nil || c.Delete != nil || c.Domain != nil || c.Endpoint != nil ||
+		c.Team != nil || c.Document != nil
 }
--- a/core/control/execute.go
+++ b/core/control/execute.go
@@ -57,6 +57,16 @@
 	return m.accept(catalog.Change{Team: &entry})
 }
 
+// putDocument stores a document of a higher version. Among documents of one version
+// the first one stays.
+func (m *Machine) putDocument(put PutDocument) Result {
+	if current := m.catalog.Document; put.Version <= current.Version {
+		return Result{Revision: current.Revision}
+	}
+	entry := catalog.Document{Version: put.Version, Content: put.Content, Revision: m.next()}
+	return m.accept(catalog.Change{Document: &entry})
+}
+
 func (m *Machine) register(entry catalog.NodeEntry) Result {
 	if m.Dead(entry.Node) {
 		return Result{Code: CodeDead}
--- a/core/control/machine.go
+++ b/core/control/machine.go
@@ -191,6 +191,8 @@
 		return m.declareDead(command.Dead.Node)
 	case command.Epoch != nil:
 		return m.newEpoch(command.Epoch.Number)
+	case command.Document != nil:
+		return m.putDocument(*command.Document)
 	case command.Drop != nil:
 		return m.dropEpochs(command.Drop.UpTo)
 	default:
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -12,7 +12,12 @@
 // ErrSnapshot is wrapped by the errors of Restore.
 var ErrSnapshot = eris.New("malformed snapshot")
 
-const snapshotVersion = 1
+// snapshotVersion is the version of the snapshots. Version 2 added the document; a
+// snapshot of version 1 has none.
+const (
+	snapshotVersion      = 2
+	firstSnapshotVersion = 1
+)
 
 // snapshot is the state of a Machine. The list of changes is not part of it: a
 // node that is behind a restored replica gets the full catalog.
@@ -70,7 +75,7 @@
 }
 
 func (s snapshot) check(limit limits) error {
-	if s.Version != snapshotVersion {
+	if s.Version < firstSnapshotVersion || s.Version > snapshotVersion {
 		return eris.Wrapf(ErrSnapshot, "version %d, known is %d", s.Version, snapshotVersion)
 	}
 	c := s.Catalog
--- a/core/control/validate.go
+++ b/core/control/validate.go
@@ -134,12 +134,23 @@
 		if c.Team.Quota < 0 {
 			found.add("quota", "%d must not be negative", c.Team.Quota)
 		}
+	case c.Document != nil:
+		found.document(*c.Document)
 	case c.Register != nil:
 		found.node(c.Register.Entry)
 	}
 	return found
 }
 
+func (f *FindingErrors) document(put PutDocument) {
+	if put.Version <= 0 {
+		f.add("version", "%d must be above 0", put.Version)
+	}
+	if len(put.Content) == 0 || len(put.Content) > MaxDocument {
+		f.add("content", "must have 1 to %d bytes", MaxDocument)
+	}
+}
+
 func (f *FindingErrors) request(id RequestID) {
 	if id == "" || len(id) > MaxRequestID {
 		f.add("request-id", "must have 1 to %d bytes", MaxRequestID)
--- /dev/null
+++ b/core/dispatch/agent.go
@@ -0,0 +1,176 @@
+package dispatch
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/executor"
+	"zinniasill/core/message"
+	"zinniasill/core/stream"
+)
+
+const (
+	// HeartbeatEvery is the time between two messages to an agent.
+	HeartbeatEvery = 100 * time.Millisecond
+	// SilentAfter is the time without a report after which an agent gets no new
+	// tasks. It spans two heartbeats and a late one.
+	SilentAfter = 350 * time.Millisecond
+	// LostAfter is the time without a report after which all leases for the agent's
+	// tasks have ended: that of this entry at the agent, the time to stop a run, and
+	// that of the endpoint, with an allowance of 2% for the rates of clocks.
+	LostAfter = executor.EntryLease + executor.HoldLease + 250*time.Millisecond
+)
+
+// agent is what the entry knows of one agent.
+type agent struct {
+	id      zinniasill.NodeID
+	domain  zinniasill.Domain
+	life    zinniasill.Incarnation
+	session uint64
+	in      stream.Receiver
+	out     stream.Sender[message.Command]
+	// heard is when the last report arrived and echo the time stamp in it.
+	heard  time.Time
+	echo   time.Duration
+	sent   time.Time
+	room   message.Room
+	tasks  map[*task]struct{}
+	taken  uint64 // the last command that the agent has handled
+	silent bool
+}
+
+func newAgent(entry AgentEntry, now time.Time) *agent {
+	return &agent{id: entry.ID, domain: entry.Domain, session: 1, heard: now, tasks: map[*task]struct{}{}}
+}
+
+func compareAgents(a, b *agent) int {
+	return cmp.Compare(a.id, b.id)
+}
+
+// release forgets that the agent has a task.
+func (a *agent) release(t *task) {
+	delete(a.tasks, t)
+	t.agent = nil
+}
+
+// pending returns the processor of the tasks that the agent's report cannot include
+// yet, in thousandths of a core.
+func (a *agent) pending() int64 {
+	sum := int64(0)
+	for t := range a.tasks {
+		if t.command > a.taken {
+			sum += t.job.Steps[t.step].Need.MilliCPU
+		}
+	}
+	return sum
+}
+
+// Receive handles a report of an agent.
+func (d *Dispatcher) Receive(now time.Time, env message.Envelope) {
+	progress, ok := env.Body.(message.Progress)
+	if !ok || env.Version != message.Version || progress.Entry != d.cfg.Self.Incarnation {
+		return
+	}
+	a := d.agents[env.From.ID]
+	if a == nil {
+		return
+	}
+	if progress.Agent != a.life {
+		d.newLife(now, a, progress)
+	}
+	if progress.SentAt < a.echo && progress.Session == a.session && progress.First <= a.in.Last() {
+		return
+	}
+	a.hear(now, progress)
+	if a.silent {
+		a.silent = false
+		d.record("agent-regained", slog.String("agent", string(a.id)))
+	}
+	if progress.Session != a.session {
+		return
+	}
+	a.out.Ack(now, progress.Received)
+	a.taken = max(a.taken, progress.Received)
+	for _, update := range stream.Accept(&a.in, progress.First, progress.Updates) {
+		d.update(now, a, update)
+	}
+	d.placeAgain(now)
+	d.Flush(now)
+}
+
+func (a *agent) hear(now time.Time, progress message.Progress) {
+	if progress.SentAt < a.echo {
+		return
+	}
+	a.heard = now
+	a.echo = progress.SentAt
+	a.room = progress.Room
+}
+
+// newLife takes over another life of an agent's process. It speaks only when nothing
+// of the former one runs at the endpoint.
+func (d *Dispatcher) newLife(now time.Time, a *agent, progress message.Progress) {
+	if a.life != 0 {
+		d.loseAgent(now, a, "agent-restarted")
+	}
+	a.life = progress.Agent
+	a.echo = 0
+	a.reset()
+}
+
+// reset begins a session: what was assigned before is given up.
+func (a *agent) reset() {
+	a.session++
+	a.in = stream.Receiver{}
+	a.out = stream.Sender[message.Command]{}
+	a.taken = 0
+}
+
+// loseAgent takes back all tasks of an agent whose leases have ended.
+func (d *Dispatcher) loseAgent(now time.Time, a *agent, why string) {
+	d.record("agent-lost", slog.String("agent", string(a.id)), slog.String("reason", why),
+		slog.Duration("silent", now.Sub(a.heard)), slog.Int("tasks", len(a.tasks)))
+	a.reset()
+	for _, t := range a.sortedTasks() {
+		t.job.ran = true
+		d.returned(now, t, zinniasill.ReasonLeaseExpired)
+	}
+}
+
+func (a *agent) sortedTasks() []*task {
+	tasks := make([]*task, 0, len(a.tasks))
+	for t := range a.tasks {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(x, y *task) int {
+		return cmp.Or(cmp.Compare(x.job.ID, y.job.ID), cmp.Compare(x.step, y.step), cmp.Compare(x.index, y.index))
+	})
+	return tasks
+}
+
+// Flush sends each agent its commands, or a heartbeat when one is due. The loop calls
+// it after each step.
+func (d *Dispatcher) Flush(now time.Time) {
+	for _, a := range d.order {
+		if !a.silent && a.life != 0 && now.Sub(a.heard) > SilentAfter {
+			a.silent = true
+			d.record("agent-silent", slog.String("agent", string(a.id)), slog.Int("tasks", len(a.tasks)))
+		}
+		if !a.out.Due(now) && now.Sub(a.sent) < HeartbeatEvery {
+			continue
+		}
+		a.sent = now
+		first, commands := a.out.Batch(now)
+		d.outbox = append(d.outbox, message.Envelope{
+			Version: message.Version,
+			To:      zinniasill.Node{ID: a.id},
+			Body: message.Assign{
+				Entry: d.cfg.Self.Incarnation, Agent: a.life, Session: a.session,
+				First: first, Commands: commands, Received: a.in.Last(), Echo: a.echo,
+			},
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/place.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/message"
+)
+
+const (
+	// lateFactor times the goal is when an answer is of no use any more.
+	lateFactor = 3
+	// farPenalty is what a task at an agent of another failure domain counts as
+	// extra time: a message takes longer there and its bytes cost more.
+	farPenalty = 3 * time.Millisecond
+	// failingPenalty is the extra time of an endpoint that fails everything, so that
+	// it gets work only when all others are very busy.
+	failingPenalty = 3 * time.Second
+	// avoidPenalty keeps a returned task from going back where it came from.
+	avoidPenalty = 2 * time.Second
+	// remoteFactor is how much longer a task takes away from its data.
+	remoteFactor = 1.5
+	// busyWait is assumed for a full endpoint that reports nothing else.
+	busyWait = 100 * time.Millisecond
+)
+
+// place is an agent chosen for a task.
+type place struct {
+	task  *task
+	agent *agent
+}
+
+// plan has a place for each task, or the reason why there is none. Wait is the
+// longest expected wait for a start.
+type plan struct {
+	places []place
+	wait   time.Duration
+	reason zinniasill.Reason
+}
+
+// patience returns the longest wait at which a job is still taken. It answers an
+// overload that lasts: taking more than can be started in time makes all jobs late,
+// while a refused caller knows at once.
+func (j *job) patience() time.Duration {
+	return j.slack() * patienceFactor
+}
+
+// patienceFactor allows for estimates of the wait that are too high.
+const patienceFactor = 2
+
+// plan chooses an agent for each task: the one at which it is expected to end first,
+// with regard to what the plan itself has placed there before.
+func (d *Dispatcher) plan(now time.Time, tasks []*task) plan {
+	loads := d.loads(now)
+	p := plan{places: make([]place, 0, len(tasks))}
+	if len(loads) == 0 {
+		return plan{reason: zinniasill.ReasonNoEndpoint}
+	}
+	for _, t := range tasks {
+		best := choose(t, loads)
+		if best == nil {
+			return plan{reason: zinniasill.ReasonNoEndpoint}
+		}
+		p.wait = max(p.wait, best.wait(t))
+		best.add(t)
+		p.places = append(p.places, place{task: t, agent: best.agent})
+	}
+	if len(tasks) > 0 && p.wait > tasks[0].job.patience() {
+		p.reason = zinniasill.ReasonOverload
+	}
+	return p
+}
+
+// load is the expected load of one agent while a plan is made.
+type load struct {
+	agent *agent
+	local bool
+	// free is the processor that is neither in use nor spoken for, in thousandths of
+	// a core.
+	free   int64
+	queued [message.Priorities]int64
+	slow   float64
+	placed map[*job]map[int]int
+}
+
+// loads returns the agents that may get work now.
+func (d *Dispatcher) loads(now time.Time) []*load {
+	var loads []*load
+	for _, a := range d.order {
+		if a.life == 0 || !a.room.Open || d.domainsOut[a.domain] || now.Sub(a.heard) > SilentAfter {
+			continue
+		}
+		l := &load{agent: a, local: a.domain == d.cfg.Domain, slow: float64(a.room.Slowness) / 1000}
+		if l.slow == 0 {
+			l.slow = 1
+		}
+		copy(l.queued[:], a.room.Queued)
+		l.free = a.room.Capacity.MilliCPU - a.room.Used.MilliCPU - a.pending()
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// choose returns the load with the earliest expected end of a task, nil if none fits.
+func choose(t *task, loads []*load) *load {
+	var best *load
+	var least time.Duration
+	for _, l := range loads {
+		if !l.fits(t) {
+			continue
+		}
+		if cost := l.cost(t); best == nil || cost < least {
+			best, least = l, cost
+		}
+	}
+	return best
+}
+
+func (l *load) fits(t *task) bool {
+	step := t.job.Steps[t.step]
+	room := l.agent.room
+	if room.Kind != t.job.Kind || !step.Need.Within(room.Capacity) {
+		return false
+	}
+	if step.Label != "" && !slices.Contains(room.Labels, step.Label) {
+		return false
+	}
+	return step.PerEndpoint <= 0 || l.count(t) < step.PerEndpoint
+}
+
+// count returns how many tasks of a step are at the agent.
+func (l *load) count(t *task) int {
+	count := l.placed[t.job][t.step]
+	for other := range l.agent.tasks {
+		if other.job == t.job && other.step == t.step {
+			count++
+		}
+	}
+	return count
+}
+
+// cost returns the expected time until a task ends here, with penalties.
+func (l *load) cost(t *task) time.Duration {
+	step := t.job.Steps[t.step]
+	run := float64(step.Estimate) * l.slow
+	if step.NearLabel != "" && !slices.Contains(l.agent.room.Labels, step.NearLabel) {
+		run *= remoteFactor
+	}
+	cost := l.wait(t) + time.Duration(run)
+	if !l.local {
+		cost += farPenalty
+	}
+	if t.avoid == l.agent {
+		cost += avoidPenalty
+	}
+	return cost + time.Duration(l.agent.room.Failing)*failingPenalty/1000
+}
+
+// wait returns how long a task is expected to wait here: until running tasks have
+// given back what it and the tasks before it need.
+func (l *load) wait(t *task) time.Duration {
+	need := t.job.Steps[t.step].Need.MilliCPU
+	level := min(max(t.job.Priority, 0), message.Priorities-1)
+	before := int64(0)
+	for _, queued := range l.queued[:level+1] {
+		before += queued
+	}
+	missing := before + need - l.free
+	if missing <= 0 {
+		return 0
+	}
+	freeing := l.agent.room.Freeing
+	if freeing <= 0 {
+		return busyWait
+	}
+	return time.Duration(float64(missing) / float64(freeing) * float64(time.Second))
+}
+
+// add counts a task that the plan places here.
+func (l *load) add(t *task) {
+	l.free -= t.job.Steps[t.step].Need.MilliCPU
+	if l.placed == nil {
+		l.placed = map[*job]map[int]int{}
+	}
+	if l.placed[t.job] == nil {
+		l.placed[t.job] = map[int]int{}
+	}
+	l.placed[t.job][t.step]++
+}
+
+// assign sends tasks to their agents, those of one step at one agent together.
+func (d *Dispatcher) assign(now time.Time, places []place) {
+	type group struct {
+		agent *agent
+		job   *job
+		step  int
+	}
+	offers := map[group]*message.JobOffer{}
+	var order []group
+	for _, p := range places {
+		t := p.task
+		g := group{agent: p.agent, job: t.job, step: t.step}
+		offer := offers[g]
+		if offer == nil {
+			offer = d.offer(now, t)
+			offers[g] = offer
+			order = append(order, g)
+		}
+		t.attempt++
+		t.agent = p.agent
+		t.sent = now
+		p.agent.tasks[t] = struct{}{}
+		offer.Tasks = append(offer.Tasks, message.AssignedTask{Index: t.index, Attempt: t.attempt})
+	}
+	for _, g := range order {
+		g.agent.out.Push(message.Command{Offer: offers[g]})
+	}
+	for _, p := range places {
+		p.task.command = p.agent.out.Last()
+	}
+}
+
+func (d *Dispatcher) offer(now time.Time, t *task) *message.JobOffer {
+	step := t.job.Steps[t.step]
+	return &message.JobOffer{
+		Job: t.job.ID, Step: uint32(t.step), Spec: t.job.Spec, Need: step.Need,
+		Estimate: step.Estimate, Priority: t.job.Priority,
+		Slack: max(t.job.slack()-now.Sub(t.job.arrived), 0),
+	}
+}
--- /dev/null
+++ b/core/executor/calls.go
@@ -0,0 +1,217 @@
+package executor
+
+import (
+	"log/slog"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/message"
+)
+
+// CallID numbers the orders to the endpoint.
+type CallID uint64
+
+// Call is one order to carry out. One of the pointers is set. An order without an
+// answer after Timeout counts as OrderNoAnswer.
+type Call struct {
+	ID      CallID
+	Start   *zinniasill.StartOrder
+	Stop    *zinniasill.StopOrder
+	Hold    *zinniasill.HoldOrder
+	Timeout time.Duration
+}
+
+const (
+	// orderTimeout is the time for the answer to a start or stop. Both are answered
+	// on the agent's own machine.
+	orderTimeout = 100 * time.Millisecond
+	// holdSlack is the time for the answer to a hold beyond its wait.
+	holdSlack = 150 * time.Millisecond
+)
+
+// pendingCall is an order without an answer.
+type pendingCall struct {
+	call   Call
+	task   *task
+	issued time.Time
+	life   zinniasill.EndpointLife
+}
+
+func (s *Supervisor) issue(now time.Time, call Call, t *task) {
+	s.lastCall++
+	call.ID = s.lastCall
+	s.waiting[call.ID] = pendingCall{call: call, task: t, issued: now, life: s.life}
+	s.calls = append(s.calls, call)
+}
+
+// order orders the start of a task that has left the queue.
+func (s *Supervisor) order(now time.Time, t *task) {
+	t.step(eventOrder)
+	t.run = max(t.attempt, t.run, s.runs[t.id].run+1)
+	t.ordered = now
+	t.deadline = s.endpointClock(now) + startDeadline
+	s.active[t.id] = t
+	s.used = s.used.Add(t.need)
+	s.noteRun(now, t.id, t.run)
+	s.issue(now, Call{
+		Start: &zinniasill.StartOrder{
+			Life: s.life, Task: t.id, Run: t.run, Spec: t.spec, Deadline: t.deadline, Fence: s.fence,
+		},
+		Timeout: orderTimeout,
+	}, t)
+}
+
+// noteRun remembers the highest number of a run, so that a later one is higher.
+func (s *Supervisor) noteRun(now time.Time, id zinniasill.TaskID, run zinniasill.Attempt) {
+	s.runs[id] = lastRun{run: max(run, s.runs[id].run), at: now}
+}
+
+// Answered handles the answer to a start or stop.
+func (s *Supervisor) Answered(now time.Time, id CallID, result zinniasill.OrderResult) {
+	pending, ok := s.waiting[id]
+	if !ok {
+		return
+	}
+	delete(s.waiting, id)
+	if pending.life == s.life {
+		s.noteContact(now, result)
+		if pending.call.Start != nil {
+			s.startAnswered(now, pending, result)
+		} else {
+			s.stopAnswered(pending, result)
+		}
+	}
+	s.step(now)
+}
+
+// noteContact takes what any answer says about the endpoint.
+func (s *Supervisor) noteContact(now time.Time, result zinniasill.OrderResult) {
+	switch result.Outcome {
+	case zinniasill.OrderNoAnswer, zinniasill.OrderUnreachable, zinniasill.OrderOtherLife:
+		return
+	default:
+		s.contact = now
+		s.syncClock(now, result.Clock)
+	}
+}
+
+func (s *Supervisor) startAnswered(now time.Time, pending pendingCall, result zinniasill.OrderResult) {
+	t := pending.task
+	if s.active[t.id] != t || t.state != stateStarting {
+		return
+	}
+	if result.Outcome != zinniasill.OrderAccepted {
+		s.record("start-refused", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
+			slog.String("outcome", string(result.Outcome)), slog.Int64("used", s.used.MilliCPU),
+			slog.Duration("after", now.Sub(pending.issued)))
+	}
+	switch result.Outcome {
+	case zinniasill.OrderAccepted:
+		s.accepted(now, t)
+	case zinniasill.OrderNoRoom:
+		s.blocked = now.Add(roomRetry)
+		s.requeue(t)
+	case zinniasill.OrderOldRun, zinniasill.OrderLate, zinniasill.OrderFenced:
+		s.retry(now, t, result)
+	case zinniasill.OrderInvalid:
+		s.close(t, eventEnd, message.RunFailed, zinniasill.ReasonBadRequest)
+	case zinniasill.OrderUnhealthy:
+		s.speed.failed()
+		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonBusy)
+	case zinniasill.OrderOtherLife:
+		s.gone("endpoint-replaced")
+	case zinniasill.OrderUnreachable:
+		s.blocked = now.Add(unreachableRetry)
+		s.speed.failed()
+		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonNoEndpoint)
+	default:
+		t.step(eventDoubt)
+		s.sendStop(now, t)
+	}
+}
+
+// accepted notes that a run has begun.
+func (s *Supervisor) accepted(now time.Time, t *task) {
+	if !t.step(eventAccept) {
+		return
+	}
+	t.started = now
+	t.ran = true
+	s.record("task-started", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
+		slog.Int("run", int(t.run)), slog.Duration("waited", now.Sub(t.queued)),
+		slog.Int("queued", len(s.queue)))
+}
+
+// requeue puts a task that was not started back into the queue.
+func (s *Supervisor) requeue(t *task) {
+	delete(s.active, t.id)
+	s.used = s.used.Sub(t.need)
+	t.step(eventWait)
+	s.queue = append([]*task{t}, s.queue...)
+}
+
+// retry orders a start again whose number, deadline or token was refused.
+func (s *Supervisor) retry(now time.Time, t *task, result zinniasill.OrderResult) {
+	t.oldRuns++
+	if t.oldRuns > maxOldRuns {
+		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonBusy)
+		return
+	}
+	if result.Outcome == zinniasill.OrderFenced {
+		s.fence = max(s.fence+1, uint64(result.Clock/time.Millisecond))
+	}
+	if result.Outcome == zinniasill.OrderOldRun {
+		s.noteRun(now, t.id, t.run<<1)
+	}
+	s.requeue(t)
+}
+
+// stopRun ends a run that is no longer wanted. Its room stays in use until the end is
+// known.
+func (s *Supervisor) stopRun(t *task, reason zinniasill.Reason) {
+	if t.step(eventStop) {
+		t.reason = reason
+		t.stopSent = time.Time{}
+	}
+}
+
+// stopAgain sends the stops that are due.
+func (s *Supervisor) stopAgain(now time.Time) {
+	for _, t := range s.sortedActive() {
+		if (t.state == stateStopping || t.state == stateDoubtful) &&
+			!t.stopAsked && now.Sub(t.stopSent) >= stopRetry {
+			s.sendStop(now, t)
+		}
+	}
+}
+
+func (s *Supervisor) sendStop(now time.Time, t *task) {
+	t.stopSent = now
+	t.stopAsked = true
+	s.issue(now, Call{
+		Stop:    &zinniasill.StopOrder{Life: s.life, Task: t.id, Run: t.run, Fence: s.fence},
+		Timeout: orderTimeout,
+	}, t)
+}
+
+// stopAnswered handles the answer to a stop. A stop that was carried out keeps the
+// run from starting later; if it was running, its end is listed.
+func (s *Supervisor) stopAnswered(pending pendingCall, result zinniasill.OrderResult) {
+	t := pending.task
+	if t == nil {
+		return
+	}
+	t.stopAsked = false
+	if s.active[t.id] != t {
+		return
+	}
+	switch {
+	case result.Outcome == zinniasill.OrderOtherLife:
+		s.gone("endpoint-replaced")
+	case result.Outcome != zinniasill.OrderAccepted:
+	case t.state == stateDoubtful:
+		// The run may have begun before the stop: the next hold shows its end.
+		t.step(eventStop)
+		t.reason = zinniasill.ReasonBusy
+	}
+}
--- /dev/null
+++ b/core/executor/hold.go
@@ -0,0 +1,218 @@
+package executor
+
+import (
+	"log/slog"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/message"
+)
+
+// holding is the state of the endpoint's lease and of the list of ends.
+type holding struct {
+	asked   bool
+	cursor  uint64 // the last end that was taken note of
+	acked   uint64 // the cursor of the last hold that was accepted
+	renewed time.Time
+	retryAt time.Time
+	failed  int
+}
+
+// maxEnds is the number of ends from which a list may be cut short.
+const maxEnds = 500
+
+// renewHold sends a hold while there is something to renew or to learn.
+func (s *Supervisor) renewHold(now time.Time) {
+	if !s.present || s.hold.asked || now.Before(s.hold.retryAt) || s.clock == 0 {
+		return
+	}
+	busy := len(s.active) > 0
+	if s.adopted && !busy && s.hold.acked == s.hold.cursor {
+		return
+	}
+	order := zinniasill.HoldOrder{
+		Life: s.life, Fence: s.fence, Cursor: s.hold.cursor,
+		Deadline: s.endpointClock(now) + HoldLease,
+	}
+	if s.adopted && busy && !s.awaitsList() {
+		order.Wait = holdWait
+	}
+	s.hold.asked = true
+	s.issue(now, Call{Hold: &order, Timeout: order.Wait + holdSlack}, nil)
+}
+
+// awaitsList reports whether a run's fate is to be read from the lists.
+func (s *Supervisor) awaitsList() bool {
+	for _, t := range s.active {
+		if t.state == stateStopping && !t.stopAsked {
+			return true
+		}
+	}
+	return false
+}
+
+// Held handles the answer to a hold.
+func (s *Supervisor) Held(now time.Time, id CallID, result zinniasill.HoldResult) {
+	pending, ok := s.waiting[id]
+	if !ok {
+		return
+	}
+	delete(s.waiting, id)
+	if pending.life != s.life {
+		return
+	}
+	s.hold.asked = false
+	s.noteContact(now, result.OrderResult)
+	switch result.Outcome {
+	case zinniasill.OrderAccepted:
+		s.hold.renewed = pending.issued
+		s.hold.acked = max(s.hold.acked, pending.call.Hold.Cursor)
+		s.hold.failed = 0
+		s.reconcile(now, pending.issued, result)
+	case zinniasill.OrderOtherLife:
+		s.gone("endpoint-replaced")
+	case zinniasill.OrderFenced:
+		s.fence = max(s.fence+1, uint64(result.Clock/time.Millisecond))
+	default:
+		s.holdFailed(now, pending.issued, result.Outcome)
+	}
+	s.step(now)
+}
+
+// holdFailed handles a hold without a usable answer. When the last renewal is older
+// than the lease, everything at the endpoint has ended.
+func (s *Supervisor) holdFailed(now, issued time.Time, outcome zinniasill.OrderOutcome) {
+	s.hold.failed++
+	s.record("hold-failed", slog.String("outcome", string(outcome)), slog.Int("failed", s.hold.failed),
+		slog.Duration("after", now.Sub(issued)), slog.Int("running", len(s.active)))
+	if outcome != zinniasill.OrderNoAnswer {
+		s.hold.retryAt = now.Add(unreachableRetry)
+	}
+	if now.Sub(s.lastRenewal()) > lapsedAfter {
+		s.loseAll(zinniasill.ReasonLeaseExpired)
+	}
+}
+
+// lastRenewal returns when a lease was last extended as far as is known.
+func (s *Supervisor) lastRenewal() time.Time {
+	last := s.hold.renewed
+	for _, t := range s.active {
+		if t.ordered.After(last) {
+			last = t.ordered
+		}
+	}
+	return last
+}
+
+// reconcile compares what the endpoint lists with what is believed to run there.
+func (s *Supervisor) reconcile(now, issued time.Time, result zinniasill.HoldResult) {
+	for _, end := range result.Ended {
+		if end.Number > s.hold.cursor {
+			s.hold.cursor = end.Number
+			s.ended(now, end)
+		}
+	}
+	listed := make(map[zinniasill.TaskID]zinniasill.Attempt, len(result.Running))
+	foreign := 0
+	for _, running := range result.Running {
+		listed[running.Task] = running.Run
+		if !s.confirm(now, running) {
+			foreign++
+			s.stopStray(now, running)
+		}
+	}
+	if foreign == 0 && !s.adopted {
+		s.adopted = true
+		s.speaking = true
+		s.record("endpoint-adopted", slog.String("life", s.life.ID), slog.Uint64("fence", s.fence))
+	}
+	if len(result.Ended) < maxEnds {
+		s.missing(issued, result.Clock, listed)
+	}
+}
+
+// confirm notes that a task is listed as running. It returns false for a run that
+// this process did not start.
+func (s *Supervisor) confirm(now time.Time, running zinniasill.RunningTask) bool {
+	t := s.active[running.Task]
+	if t == nil || t.run != running.Run {
+		return false
+	}
+	if t.state == stateStarting {
+		s.accepted(now, t)
+	}
+	t.ran = true
+	return true
+}
+
+// stopStray stops a run of a former process, or one whose order was carried out late.
+func (s *Supervisor) stopStray(now time.Time, running zinniasill.RunningTask) {
+	if now.Sub(s.strays[running.Task]) < stopRetry {
+		return
+	}
+	s.strays[running.Task] = now
+	s.noteRun(now, running.Task, running.Run)
+	s.record("stray-run", slog.String("job", running.Task.Job), slog.String("task", running.Task.String()),
+		slog.Int("run", int(running.Run)))
+	s.issue(now, Call{
+		Stop:    &zinniasill.StopOrder{Life: s.life, Task: running.Task, Run: running.Run, Fence: s.fence},
+		Timeout: orderTimeout,
+	}, nil)
+}
+
+// ended handles one end.
+func (s *Supervisor) ended(now time.Time, end zinniasill.EndedTask) {
+	s.noteRun(now, end.Task, end.Run)
+	t := s.active[end.Task]
+	if t == nil || t.run != end.Run {
+		return
+	}
+	t.ran = true
+	began := t.started
+	if began.IsZero() {
+		began = t.ordered
+	}
+	switch end.Reason {
+	case zinniasill.EndDone:
+		t.took = now.Sub(began)
+		s.speed.done(t.took, t.estimate)
+		s.close(t, eventEnd, message.RunDone, "")
+	case zinniasill.EndFailed:
+		s.speed.failed()
+		s.close(t, eventEnd, message.RunFailed, zinniasill.ReasonTaskFailed)
+	default:
+		reason := t.reason
+		if reason == "" {
+			reason = zinniasill.ReasonLeaseExpired
+		}
+		s.close(t, eventEnd, message.RunReturned, reason)
+	}
+}
+
+// missing ends the tasks that should be listed and are not. A hold that was issued
+// before a start was accepted, or a stop answered, says nothing about that run.
+func (s *Supervisor) missing(issued time.Time, clock time.Duration, listed map[zinniasill.TaskID]zinniasill.Attempt) {
+	for _, t := range s.sortedActive() {
+		if run, ok := listed[t.id]; ok && run == t.run {
+			continue
+		}
+		switch {
+		case t.state == stateRunning && issued.After(t.started):
+			s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonLeaseExpired)
+		case t.state == stateStopping && !t.stopAsked && issued.After(t.stopSent) && !t.stopSent.IsZero():
+			s.close(t, eventEnd, message.RunReturned, t.reason)
+		case t.state == stateDoubtful && clock > t.deadline && issued.After(t.ordered.Add(startDeadline)):
+			s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonBusy)
+		}
+	}
+}
+
+// loseAll ends everything at an endpoint whose life or lease has ended.
+func (s *Supervisor) loseAll(reason zinniasill.Reason) {
+	if len(s.active) > 0 {
+		s.record("runs-lost", slog.String("reason", string(reason)), slog.Int("runs", len(s.active)))
+	}
+	for _, t := range s.sortedActive() {
+		s.close(t, eventDrop, message.RunReturned, reason)
+	}
+}
--- /dev/null
+++ b/core/executor/session.go
@@ -0,0 +1,194 @@
+package executor
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/message"
+	"zinniasill/core/stream"
+)
+
+// session is what one life of an entry has assigned, until the entry gives it up.
+type session struct {
+	entry   zinniasill.Node // To of messages, without an incarnation
+	life    zinniasill.Incarnation
+	number  uint64
+	in      stream.Receiver
+	out     stream.Sender[message.TaskUpdate]
+	alive   time.Time // the entry's tasks live until then
+	heard   time.Time
+	reply   bool
+	expired bool
+}
+
+// sessionMemory is how long a silent entry is remembered.
+const sessionMemory = time.Minute
+
+// Receive handles a message of an entry.
+func (s *Supervisor) Receive(now time.Time, env message.Envelope) {
+	s.start(now)
+	assign, ok := env.Body.(message.Assign)
+	if !ok || env.Version != message.Version || !s.speaking {
+		return
+	}
+	sess := s.session(now, env.From.ID, assign)
+	if sess == nil {
+		return
+	}
+	sess.heard = now
+	sess.reply = true
+	if assign.Agent == s.cfg.Self.Incarnation {
+		s.take(now, sess, assign)
+	}
+	s.step(now)
+	s.flush(now)
+}
+
+// session returns the session of a message, or nil if the message is of an earlier
+// session than the current one.
+func (s *Supervisor) session(now time.Time, from zinniasill.NodeID, assign message.Assign) *session {
+	sess := s.sessions[from]
+	if sess != nil && sess.life == assign.Entry {
+		if assign.Session < sess.number {
+			return nil
+		}
+		if assign.Session == sess.number {
+			return sess
+		}
+	}
+	if sess != nil {
+		s.record("session-replaced", slog.String("entry", string(from)), slog.Uint64("session", assign.Session))
+		s.endSession(sess, zinniasill.ReasonSuperseded)
+	}
+	sess = &session{
+		entry: zinniasill.Node{ID: from}, life: assign.Entry, number: assign.Session, alive: now,
+	}
+	s.sessions[from] = sess
+	return sess
+}
+
+// take handles the content of a message that is addressed to this life of the agent.
+// Commands are taken only while the entry's lease holds, so that a message which a
+// partition has delayed starts nothing.
+func (s *Supervisor) take(now time.Time, sess *session, assign message.Assign) {
+	sess.out.Ack(now, assign.Received)
+	if assign.Echo > 0 {
+		alive := s.began.Add(assign.Echo + EntryLease)
+		if alive.After(sess.alive) {
+			sess.alive = alive
+		}
+	}
+	if !now.Before(sess.alive) {
+		return
+	}
+	sess.expired = false
+	for _, command := range stream.Accept(&sess.in, assign.First, assign.Commands) {
+		if command.Offer != nil {
+			s.enqueue(now, sess, *command.Offer)
+		}
+		if command.Withdraw != "" {
+			s.withdraw(sess, command.Withdraw)
+		}
+	}
+}
+
+// withdraw ends the tasks of a job that its entry no longer wants.
+func (s *Supervisor) withdraw(sess *session, job string) {
+	s.drop(func(t *task) bool { return t.owner == sess && t.id.Job == job }, zinniasill.ReasonWithdrawn)
+}
+
+// endSession ends all tasks of a session.
+func (s *Supervisor) endSession(sess *session, reason zinniasill.Reason) {
+	s.drop(func(t *task) bool { return t.owner == sess }, reason)
+}
+
+// drop removes the tasks that match from the queue and stops those that run. Their
+// entry gets an update of each.
+func (s *Supervisor) drop(match func(t *task) bool, reason zinniasill.Reason) {
+	s.queue = slices.DeleteFunc(s.queue, func(t *task) bool {
+		if match(t) {
+			s.close(t, eventDrop, message.RunReturned, reason)
+			return true
+		}
+		return false
+	})
+	for _, t := range s.sortedActive() {
+		if match(t) {
+			s.stopRun(t, reason)
+		}
+	}
+}
+
+// expireSessions ends the tasks of entries whose lease has ended.
+func (s *Supervisor) expireSessions(now time.Time) {
+	for id, sess := range s.sessions {
+		if now.Sub(sess.heard) > sessionMemory {
+			delete(s.sessions, id)
+			continue
+		}
+		if sess.expired || now.Before(sess.alive) {
+			continue
+		}
+		sess.expired = true
+		if s.owns(sess) {
+			s.record("entry-lease-ended", slog.String("entry", string(id)),
+				slog.Duration("silent", now.Sub(sess.heard)))
+			s.endSession(sess, zinniasill.ReasonLeaseExpired)
+		}
+	}
+}
+
+func (s *Supervisor) owns(sess *session) bool {
+	for _, t := range s.queue {
+		if t.owner == sess {
+			return true
+		}
+	}
+	for _, t := range s.active {
+		if t.owner == sess {
+			return true
+		}
+	}
+	return false
+}
+
+// flush sends each entry the updates that it has not got, or an answer to its
+// heartbeat.
+func (s *Supervisor) flush(now time.Time) {
+	if !s.speaking {
+		return
+	}
+	for _, id := range s.sortedSessions() {
+		sess := s.sessions[id]
+		if !sess.reply && !sess.out.Due(now) {
+			continue
+		}
+		sess.reply = false
+		first, updates := sess.out.Batch(now)
+		s.outbox = append(s.outbox, message.Envelope{
+			Version: message.Version,
+			To:      sess.entry,
+			Body: message.Progress{
+				Agent: s.cfg.Self.Incarnation, Entry: sess.life, Session: sess.number,
+				First: first, Updates: updates, Received: sess.in.Last(),
+				SentAt: now.Sub(s.began), Room: s.room(now),
+			},
+		})
+	}
+}
+
+// Flush sends the updates of the last steps. The loop calls it after each step.
+func (s *Supervisor) Flush(now time.Time) {
+	s.flush(now)
+}
+
+func (s *Supervisor) sortedSessions() []zinniasill.NodeID {
+	ids := make([]zinniasill.NodeID, 0, len(s.sessions))
+	for id := range s.sessions {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/core/message/assign.go
@@ -0,0 +1,127 @@
+package message
+
+import (
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/resource"
+)
+
+// The messages in this file carry jobs that are answered at their end and are not
+// stored. The entry that took the job owns it; an agent lets the tasks of an entry
+// live only while that entry is heard from.
+
+// Assign carries commands of an entry to an agent. An entry also sends it without
+// commands, as its heartbeat.
+type Assign struct {
+	// Entry is the life of the sending entry and Agent that of the agent, as far as
+	// the entry knows it.
+	Entry zinniasill.Incarnation `cbor:"1,keyasint"`
+	Agent zinniasill.Incarnation `cbor:"2,keyasint,omitempty"`
+	// Session rises when the entry has given up what it had assigned before.
+	Session uint64 `cbor:"3,keyasint"`
+	// First is the number of the first command, Received that of the last update
+	// that the entry has handled.
+	First    uint64    `cbor:"4,keyasint,omitempty"`
+	Commands []Command `cbor:"5,keyasint,omitempty"`
+	Received uint64    `cbor:"6,keyasint,omitempty"`
+	// Echo is the SentAt of the newest Progress that the entry has received.
+	Echo time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// Command is one command of an entry. One of the fields is set.
+type Command struct {
+	Offer *JobOffer `cbor:"1,keyasint,omitempty"`
+	// Withdraw names a job whose tasks are to be dropped or stopped.
+	Withdraw string `cbor:"2,keyasint,omitempty"`
+}
+
+// JobOffer gives tasks of one step of a job to an agent.
+type JobOffer struct {
+	Job  string `cbor:"1,keyasint"`
+	Step uint32 `cbor:"2,keyasint,omitempty"`
+	// Spec is what the caller wants run.
+	Spec  string          `cbor:"3,keyasint,omitempty"`
+	Tasks []AssignedTask  `cbor:"4,keyasint"`
+	Need  resource.Amount `cbor:"5,keyasint"`
+	// Estimate is the expected run time of one task.
+	Estimate time.Duration `cbor:"6,keyasint,omitempty"`
+	// Priority 0 comes first.
+	Priority int `cbor:"7,keyasint,omitempty"`
+	// Slack is the time after which a start is too late for the job's objective.
+	Slack time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// AssignedTask is one task of a JobOffer.
+type AssignedTask struct {
+	Index   uint32             `cbor:"1,keyasint,omitempty"`
+	Attempt zinniasill.Attempt `cbor:"2,keyasint"`
+}
+
+// Progress is an agent's answer to an entry.
+type Progress struct {
+	Agent   zinniasill.Incarnation `cbor:"1,keyasint"`
+	Entry   zinniasill.Incarnation `cbor:"2,keyasint"`
+	Session uint64                 `cbor:"3,keyasint"`
+	// First is the number of the first update, Received that of the last command
+	// that the agent has handled.
+	First    uint64       `cbor:"4,keyasint,omitempty"`
+	Updates  []TaskUpdate `cbor:"5,keyasint,omitempty"`
+	Received uint64       `cbor:"6,keyasint,omitempty"`
+	// SentAt is the time since the agent's start, on its own clock.
+	SentAt time.Duration `cbor:"7,keyasint"`
+	Room   Room          `cbor:"8,keyasint"`
+}
+
+// RunState is what an agent reports of one assigned task.
+type RunState uint8
+
+// Values of RunState.
+const (
+	// RunStarted means that the task is running.
+	RunStarted RunState = iota + 1
+	// RunDone means that the task has ended with success.
+	RunDone
+	// RunFailed means that the task ran and failed.
+	RunFailed
+	// RunReturned means that the task is not running and will not start. It may
+	// have run before it was stopped or lost.
+	RunReturned
+)
+
+// TaskUpdate is a change of one assigned task.
+type TaskUpdate struct {
+	Task    zinniasill.TaskID  `cbor:"1,keyasint"`
+	Attempt zinniasill.Attempt `cbor:"2,keyasint"`
+	State   RunState           `cbor:"3,keyasint"`
+	Reason  zinniasill.Reason  `cbor:"4,keyasint,omitempty"`
+	// Ran is set on RunReturned when the task had started.
+	Ran bool `cbor:"5,keyasint,omitempty"`
+	// Took is the run time of a task that ended.
+	Took time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// Priorities is the number of priorities that a Room tells apart; higher ones count
+// as the last.
+const Priorities = 4
+
+// Room is an agent's report on its endpoint.
+type Room struct {
+	// Open is false while the endpoint takes no new work.
+	Open     bool              `cbor:"1,keyasint,omitempty"`
+	Capacity resource.Amount   `cbor:"2,keyasint"`
+	Used     resource.Amount   `cbor:"3,keyasint"`
+	Kind     zinniasill.Kind   `cbor:"4,keyasint,omitempty"`
+	Domain   zinniasill.Domain `cbor:"5,keyasint,omitempty"`
+	Labels   []string          `cbor:"6,keyasint,omitempty"`
+	// Queued is the processor that the waiting tasks need, by priority, in
+	// thousandths of a core.
+	Queued []int64 `cbor:"7,keyasint,omitempty"`
+	// Slowness is the mean run time by the estimate, in thousandths, 0 if unknown.
+	Slowness int64 `cbor:"8,keyasint,omitempty"`
+	// Failing is the share of failures among the last ends, in thousandths.
+	Failing int64 `cbor:"9,keyasint,omitempty"`
+	// Freeing is the processor that running tasks are expected to give back in a
+	// second, in thousandths of a core.
+	Freeing int64 `cbor:"10,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,124 @@
+// Package route finds the queue that a request belongs to.
+//
+//	table, err := route.New(7, queues)
+//	queue, rest, ok := table.Find("cores.example", "/pull/5c0e")
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"zinniasill"
+)
+
+// Queue states what a kind of request is owed, and the endpoints that serve it.
+type Queue struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Kind names the endpoints that run the queue's tasks.
+	Kind zinniasill.Kind
+	// AnswerWithin bounds the time of a request.
+	AnswerWithin time.Duration
+	// Objective and Stretch say how soon a job is to be answered: within Stretch
+	// times its work, and Objective.
+	Objective time.Duration
+	Stretch   float64
+	// Priority 0 comes first.
+	Priority int
+	// Attempts is the number of failures of one task that fail its job.
+	Attempts int
+	// Advised is set when an outside service decides on the endpoints.
+	Advised bool
+}
+
+// Finding is one fault of a table, with the queue that has it.
+type Finding struct {
+	Queue   string
+	Problem string
+}
+
+// InvalidError lists all faults of a table.
+type InvalidError struct {
+	Findings []Finding
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	parts := make([]string, len(e.Findings))
+	for i, finding := range e.Findings {
+		parts[i] = fmt.Sprintf("queue %q: %s", finding.Queue, finding.Problem)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Table has the queues of one version of the configuration. Use New.
+type Table struct {
+	version zinniasill.DocumentVersion
+	hosts   map[string][]Queue // longest prefix first
+}
+
+// New returns a table, or an *InvalidError that lists all faults: queues that share
+// their host and prefix, that name none of the kinds, or that leave no time.
+func New(version zinniasill.DocumentVersion, kinds []zinniasill.Kind, queues []Queue) (*Table, error) {
+	table := &Table{version: version, hosts: map[string][]Queue{}}
+	var found []Finding
+	add := func(queue Queue, format string, args ...any) {
+		found = append(found, Finding{Queue: queue.Name, Problem: fmt.Sprintf(format, args...)})
+	}
+	for _, queue := range queues {
+		if !slices.Contains(kinds, queue.Kind) {
+			add(queue, "no endpoints of kind %.80q are configured", queue.Kind)
+		}
+		if queue.AnswerWithin <= 0 {
+			add(queue, "its time limit %s must be above 0s", queue.AnswerWithin)
+		}
+		if queue.Prefix == "" || queue.Prefix[0] != '/' {
+			add(queue, "its path prefix %.80q must begin with a slash", queue.Prefix)
+		}
+		host := canonicalHost(queue.Host)
+		for _, other := range table.hosts[host] {
+			if other.Prefix == queue.Prefix {
+				add(queue, "it shares host %.80q and path prefix %.80q with queue %.80q", host, queue.Prefix, other.Name)
+			}
+		}
+		table.hosts[host] = append(table.hosts[host], queue)
+	}
+	if len(found) > 0 {
+		return nil, &InvalidError{Findings: found}
+	}
+	for _, queues := range table.hosts {
+		slices.SortFunc(queues, func(a, b Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return table, nil
+}
+
+// Version returns the version of the configuration. It is 0 for a nil table.
+func (t *Table) Version() zinniasill.DocumentVersion {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
+
+// Find returns the queue with the longest prefix that the path begins with, and the
+// rest of the path.
+func (t *Table) Find(host, path string) (queue Queue, rest string, ok bool) {
+	for _, queue := range t.hosts[canonicalHost(host)] {
+		if rest, ok := strings.CutPrefix(path, queue.Prefix); ok {
+			return queue, rest, true
+		}
+	}
+	return Queue{}, "", false
+}
+
+// canonicalHost returns a host in lower case and without a port.
+func canonicalHost(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
--- a/id.go
+++ b/id.go
@@ -76,3 +76,28 @@
 // Digest is a SHA-256 digest of a job's body. It detects a key that is reused
 // for another body.
 type Digest [32]byte
+
+// TaskID names one task of a job that has steps.
+type TaskID struct {
+	Job   string `cbor:"1,keyasint"`
+	Step  uint32 `cbor:"2,keyasint,omitempty"`
+	Index uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+// String returns the id in the form job.step.index.
+func (id TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d", id.Job, id.Step, id.Index)
+}
+
+// EndpointLife is one life of an endpoint.
+type EndpointLife struct {
+	// ID may be the same in later lives.
+	ID string
+	// Born is the endpoint's start in milliseconds since 1970. It is higher in a
+	// later life.
+	Born int64
+}
+
+// DocumentVersion numbers the versions of a configuration document. Its writers choose
+// it; versions may have gaps.
+type DocumentVersion int64
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -65,6 +65,8 @@
 		{Number: 33, Sample: message.CancelReply{}},
 		{Number: 34, Sample: message.Bundle{}, Nests: true},
 		{Number: 35, Sample: message.LoadReport{}},
+		{Number: 36, Sample: message.Assign{}},
+		{Number: 37, Sample: message.Progress{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: Bulk},
 		{Number: 20, Sample: message.HandoverPart{}, Class: Bulk},
 		{Number: 21, Sample: message.HandoverAck{}},
