--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -98,7 +98,6 @@
 		d.update(now, a, update)
 	}
 	d.placeAgain(now)
-	d.Flush(now)
 }
 
 func (a *agent) hear(now time.Time, progress message.Progress) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -104,7 +104,6 @@
 	requests   map[RequestID]*job
 	// unplaced are the tasks that wait for an agent, oldest first.
 	unplaced []*task
-	ticked   time.Time
 	replies  []Reply
 	outbox   []message.Envelope
 }
@@ -199,14 +198,12 @@
 
 // Tick handles the passing of time.
 func (d *Dispatcher) Tick(now time.Time) {
-	d.ticked = now
 	for _, a := range d.order {
 		if a.life != 0 && len(a.tasks) > 0 && now.Sub(a.heard) > LostAfter {
 			d.loseAgent(now, a, "agent-silent")
 		}
 	}
 	d.placeAgain(now)
-	d.Flush(now)
 }
 
 // finish answers a job and ends it.
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"zinniasill"
@@ -121,3 +123,10 @@
 		}
 	}
 }
+
+// GiveUpAll answers all jobs in progress, before the process ends.
+func (d *Dispatcher) GiveUpAll(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
+		d.giveUp(now, d.jobs[id], zinniasill.ReasonShuttingDown)
+	}
+}
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -43,7 +43,6 @@
 		s.take(now, sess, assign)
 	}
 	s.step(now)
-	s.flush(now)
 }
 
 // session returns the session of a message, or nil if the message is of an earlier
@@ -154,9 +153,9 @@
 	return false
 }
 
-// flush sends each entry the updates that it has not got, or an answer to its
-// heartbeat.
-func (s *Supervisor) flush(now time.Time) {
+// Flush sends each entry the updates that it has not got, or an answer to its
+// heartbeat. The loop calls it after each step.
+func (s *Supervisor) Flush(now time.Time) {
 	if !s.speaking {
 		return
 	}
@@ -179,11 +178,6 @@
 	}
 }
 
-// Flush sends the updates of the last steps. The loop calls it after each step.
-func (s *Supervisor) Flush(now time.Time) {
-	s.flush(now)
-}
-
 func (s *Supervisor) sortedSessions() []zinniasill.NodeID {
 	ids := make([]zinniasill.NodeID, 0, len(s.sessions))
 	for id := range s.sessions {
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -36,12 +36,18 @@
 		metrics: metrics.New(),
 		local:   map[zinniasill.NodeID]func(message.Envelope){},
 	}
+	if cfg.Metrics != nil {
+		p.metrics = cfg.Metrics
+	}
 	p.members, _ = settings.ParseMembers(cfg.Settings.Members)
 	build := map[settings.Role]func() error{
 		settings.RoleControl:  p.buildControl,
 		settings.RoleEntry:    p.buildEntry,
 		settings.RoleAgent:    p.buildAgent,
 		settings.RoleAllInOne: p.buildAllInOne,
+
+		settings.RoleDispatcher: p.buildDispatcher,
+		settings.RoleSupervisor: p.buildSupervisor,
 	}[cfg.Role]
 	if build == nil {
 		return nil, eris.Errorf("role %q cannot run as a process of its own", cfg.Role)
@@ -138,6 +144,9 @@
 	if err := p.listenSecure(s.HTTP, p.require(identity.Operator, role.Handler())); err != nil {
 		return err
 	}
+	if err := p.serveAdapter(func(a *Adapter) []Served { return a.Control(role) }); err != nil {
+		return err
+	}
 	return p.openTransport(link, peer.Config{
 		Listen: s.Listen, Advertise: s.Advertise,
 		Self: role.Node, Deliver: role.Deliver, Resolve: p.memberAddress,
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -43,6 +43,11 @@
 	Settings settings.Settings
 	Role     settings.Role
 	Log      *logrus.Logger
+	// Adapter connects the roles to an interface other than the product's own. It is
+	// required for the roles that have none.
+	Adapter *Adapter
+	// Metrics is a new set if nil.
+	Metrics *metrics.Set
 }
 
 // Process is one process of the system. Use New.
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -76,6 +76,8 @@
 	anyOf[message.HandoverAck](),
 	bundle,
 	anyOf[message.LoadReport](),
+	anyOf[message.Assign](),
+	anyOf[message.Progress](),
 }
 
 // bundle draws a bundle of two other bodies.
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -38,6 +38,11 @@
 	RoleEntry    Role = "entry"
 	RoleAgent    Role = "agent"
 	RoleAllInOne Role = "all-in-one"
+	// RoleDispatcher and RoleSupervisor are entry and agent for jobs that are answered
+	// at their end. They run behind an adapter to another interface, which makes their
+	// settings.
+	RoleDispatcher Role = "dispatcher"
+	RoleSupervisor Role = "supervisor"
 )
 
 // Bounds of settings.
