Keep single failures and rough estimates from skewing the placement

The log showed three of eleven endpoints without work: each had failed one task, the penalty was proportional to a share of failures that only further ends could lower, and there were none. Before that, the noise of the estimates had stacked tasks on endpoints that looked slightly faster.

Change: a share of failures counts from two failures in a row and fades with time; slowness counts beyond 1.5 times the median; endpoints with more free room come first.

Ruled out: the time of an order (p95 5 ms) and stale reports.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -11,12 +11,24 @@
 const (
 	// lateFactor times the goal is when an answer is of no use any more.
 	lateFactor = 3
+	// evenSpread is what a full endpoint counts as extra time against an empty one. It
+	// keeps tasks from being stacked on a few endpoints while entries do not yet know
+	// of each other's choices.
+	evenSpread = 20 * time.Millisecond
+	// soundSlowness is the multiple of the median slowness up to which endpoints count
+	// as equal: estimates of single tasks are rough, and waiting for a slightly faster
+	// endpoint makes jobs late.
+	soundSlowness = 1.5
 	// farPenalty is what a task at an agent of another failure domain counts as
 	// extra time: a message takes longer there and its bytes cost more.
-	farPenalty = 3 * time.Millisecond
-	// failingPenalty is the extra time of an endpoint that fails everything, so that
-	// it gets work only when all others are very busy.
-	failingPenalty = 3 * time.Second
+	farPenalty = 2 * time.Millisecond
+	// failingFrom is the share of failures, in thousandths, from which an endpoint
+	// counts as failing. Two failures in a row reach it; single ones, and tasks that
+	// fail everywhere, must not take an endpoint out.
+	failingFrom = 400
+	// failingPenalty is the extra time of a failing endpoint, so that it gets work only
+	// when all others are very busy.
+	failingPenalty = 2 * time.Second
 	// avoidPenalty keeps a returned task from going back where it came from.
 	avoidPenalty = 2 * time.Second
 	// remoteFactor is how much longer a task takes away from its data.
@@ -80,6 +92,7 @@
 	// a core.
 	free   int64
 	queued [message.Priorities]int64
+	// slow is the slowness against the median of all agents.
 	slow   float64
 	placed map[*job]map[int]int
 }
@@ -87,13 +100,14 @@
 // loads returns the agents that may get work now.
 func (d *Dispatcher) loads(now time.Time) []*load {
 	var loads []*load
+	median := d.medianSlowness()
 	for _, a := range d.order {
 		if a.life == 0 || !a.room.Open || d.domainsOut[a.domain] || now.Sub(a.heard) > SilentAfter {
 			continue
 		}
-		l := &load{agent: a, local: a.domain == d.cfg.Domain, slow: float64(a.room.Slowness) / 1000}
-		if l.slow == 0 {
-			l.slow = 1
+		l := &load{agent: a, local: a.domain == d.cfg.Domain, slow: 1}
+		if a.room.Slowness > 0 && median > 0 {
+			l.slow = float64(a.room.Slowness) / float64(median)
 		}
 		copy(l.queued[:], a.room.Queued)
 		l.free = a.room.Capacity.MilliCPU - a.room.Used.MilliCPU - a.pending()
@@ -102,6 +116,21 @@
 	return loads
 }
 
+// medianSlowness returns the median of what agents report, 0 if none does.
+func (d *Dispatcher) medianSlowness() int64 {
+	var known []int64
+	for _, a := range d.order {
+		if a.life != 0 && a.room.Slowness > 0 {
+			known = append(known, a.room.Slowness)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[len(known)/2]
+}
+
 // choose returns the load with the earliest expected end of a task, nil if none fits.
 func choose(t *task, loads []*load) *load {
 	var best *load
@@ -143,18 +172,25 @@
 // cost returns the expected time until a task ends here, with penalties.
 func (l *load) cost(t *task) time.Duration {
 	step := t.job.Steps[t.step]
-	run := float64(step.Estimate) * l.slow
+	run := float64(step.Estimate) * max(l.slow/soundSlowness, 1)
 	if step.NearLabel != "" && !slices.Contains(l.agent.room.Labels, step.NearLabel) {
 		run *= remoteFactor
 	}
 	cost := l.wait(t) + time.Duration(run)
+	if capacity := l.agent.room.Capacity.MilliCPU; capacity > 0 {
+		used := 1 - float64(l.free)/float64(capacity)
+		cost += time.Duration(used * float64(evenSpread))
+	}
 	if !l.local {
 		cost += farPenalty
 	}
 	if t.avoid == l.agent {
 		cost += avoidPenalty
 	}
-	return cost + time.Duration(l.agent.room.Failing)*failingPenalty/1000
+	if l.agent.room.Failing >= failingFrom {
+		cost += failingPenalty
+	}
+	return cost
 }
 
 // wait returns how long a task is expected to wait here: until running tasks have
--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -116,13 +116,13 @@
 	case zinniasill.OrderInvalid:
 		s.close(t, eventEnd, message.RunFailed, zinniasill.ReasonBadRequest)
 	case zinniasill.OrderUnhealthy:
-		s.speed.failed()
+		s.speed.failed(now)
 		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonBusy)
 	case zinniasill.OrderOtherLife:
 		s.gone("endpoint-replaced")
 	case zinniasill.OrderUnreachable:
 		s.blocked = now.Add(unreachableRetry)
-		s.speed.failed()
+		s.speed.failed(now)
 		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonNoEndpoint)
 	default:
 		t.step(eventDoubt)
@@ -139,6 +139,7 @@
 	t.ran = true
 	s.record("task-started", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 		slog.Int("run", int(t.run)), slog.Duration("waited", now.Sub(t.queued)),
+		slog.Duration("order", now.Sub(t.ordered)), slog.Int64("used", s.used.MilliCPU),
 		slog.Int("queued", len(s.queue)))
 }
 
--- a/core/executor/hold.go
+++ b/core/executor/hold.go
@@ -175,10 +175,10 @@
 	switch end.Reason {
 	case zinniasill.EndDone:
 		t.took = now.Sub(began)
-		s.speed.done(t.took, t.estimate)
+		s.speed.done(now, t.took, t.estimate)
 		s.close(t, eventEnd, message.RunDone, "")
 	case zinniasill.EndFailed:
-		s.speed.failed()
+		s.speed.failed(now)
 		s.close(t, eventEnd, message.RunFailed, zinniasill.ReasonTaskFailed)
 	default:
 		reason := t.reason
--- a/core/executor/room.go
+++ b/core/executor/room.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"math"
 	"time"
 
 	"zinniasill/core/message"
@@ -11,14 +12,20 @@
 	// slowness is the mean run time by the estimate, in thousandths, 0 before the
 	// first end.
 	slowness float64
-	// failing is the share of failures among the last ends.
-	failing float64
+	// failing is the share of failures among the last ends. It fades with time, so that
+	// an endpoint that gets no work is tried again.
+	failing   float64
+	failingAt time.Time
 }
 
 const (
 	// newEndShare is the weight of one end in the means, which so cover about the
 	// last dozen ends.
 	newEndShare = 0.15
+	// newFailureShare is the weight of one end in the share of failures.
+	newFailureShare = 0.25
+	// failingHalf is the time in which the share of failures fades to a half.
+	failingHalf = 1500 * time.Millisecond
 	// overrunFrom is the multiple of the expected run time from which a run that has
 	// not ended counts as an overrun.
 	overrunFrom = 2.5
@@ -30,15 +37,25 @@
 	maxRatio = 10.0
 )
 
-func (sp *speed) done(took, estimate time.Duration) {
-	sp.failing *= 1 - newEndShare
+func (sp *speed) done(now time.Time, took, estimate time.Duration) {
+	sp.fade(now)
+	sp.failing *= 1 - newFailureShare
 	if estimate > 0 {
 		sp.note(float64(took) / float64(estimate))
 	}
 }
 
-func (sp *speed) failed() {
-	sp.failing += (1 - sp.failing) * newEndShare
+func (sp *speed) failed(now time.Time) {
+	sp.fade(now)
+	sp.failing += (1 - sp.failing) * newFailureShare
+}
+
+// fade lets the share of failures shrink with the time since the last end.
+func (sp *speed) fade(now time.Time) {
+	if sp.failing > 0 {
+		sp.failing *= math.Exp2(-float64(now.Sub(sp.failingAt)) / float64(failingHalf))
+	}
+	sp.failingAt = now
 }
 
 func (sp *speed) note(ratio float64) {
@@ -75,6 +92,7 @@
 
 // room returns the report on the endpoint.
 func (s *Supervisor) room(now time.Time) message.Room {
+	s.speed.fade(now)
 	room := message.Room{
 		Open: s.open(now), Capacity: s.known.Capacity, Used: s.used,
 		Kind: s.known.Kind, Domain: s.cfg.Domain, Labels: s.known.Labels,
