List restarted nodes sooner after an election

Cause: after the final fault (all machines lose power) entries had no configuration until 39.1 s, though a leader was elected at 38.0 s. The new leader counts all times from its election, and an incarnation may be replaced only after a second without a renewal; control answers only listed nodes.

Change: DutyConfig.ReplaceAfter, 100 ms where a name is an address that no two processes share (TestRestartOfAll, failed before); a replica waits a third of an election timeout after its start, since pre-votes protect a leader.

--- a/core/consensus/replica.go
+++ b/core/consensus/replica.go
@@ -9,6 +9,10 @@
 	"zinniasill/core/message"
 )
 
+// firstElectionShare is the part of an election timeout that a replica waits after its
+// start.
+const firstElectionShare = 3
+
 // membershipAt is the membership from an index on.
 type membershipAt struct {
 	index      Index
@@ -168,6 +172,9 @@
 	r.now = now
 	if r.deadline.IsZero() {
 		r.resetDeadline()
+		// A replica that starts has heard no leader. If there is one, the others refuse
+		// its pre-vote, so it need not wait as long as after the loss of a leader.
+		r.deadline = now.Add(r.deadline.Sub(now) / firstElectionShare)
 	}
 }
 
--- a/core/control/duties.go
+++ b/core/control/duties.go
@@ -20,6 +20,11 @@
 	DefaultEpochPeriod = 5 * time.Minute
 	// DefaultRetention is the time for which an epoch is kept after its end.
 	DefaultRetention = 10 * time.Minute
+	// DefaultReplaceAfter is the time without a renewal after which an incarnation may
+	// be replaced by another one of the same node. It keeps two processes with the
+	// same id from replacing each other, and late renewals of an earlier incarnation
+	// from replacing the current one.
+	DefaultReplaceAfter = time.Second
 )
 
 const (
@@ -28,11 +33,6 @@
 	// proposeAgain is the time after which a proposal that had no effect is
 	// proposed again. A commit takes a few synced writes.
 	proposeAgain = 200 * time.Millisecond
-	// replaceAfter is the time without a renewal after which an incarnation may be
-	// replaced by another one of the same node. It keeps two processes with the
-	// same id from replacing each other, and late renewals of an earlier
-	// incarnation from replacing the current one.
-	replaceAfter = time.Second
 	// maxTickGap is the gap between two ticks from which the time without
 	// renewals is counted anew: a process that was stopped has missed them itself.
 	maxTickGap = time.Second
@@ -54,6 +54,8 @@
 	EpochGap    time.Duration
 	EpochPeriod time.Duration
 	Retention   time.Duration
+	// ReplaceAfter may be short where no two processes can have the same name.
+	ReplaceAfter time.Duration
 }
 
 func (c DutyConfig) withDefaults() DutyConfig {
@@ -66,6 +68,7 @@
 	set(&c.EpochGap, DefaultEpochGap)
 	set(&c.EpochPeriod, DefaultEpochPeriod)
 	set(&c.Retention, DefaultRetention)
+	set(&c.ReplaceAfter, DefaultReplaceAfter)
 	return c
 }
 
@@ -203,7 +206,7 @@
 	entry.Host = zinniasill.Node{}
 	listed, ok := d.machine.catalog.Nodes[entry.Node.ID]
 	if ok && listed.Node != entry.Node {
-		if other, ok := d.tracks[listed.Node]; !ok || now.Sub(other.renewed) < replaceAfter {
+		if other, ok := d.tracks[listed.Node]; !ok || now.Sub(other.renewed) < d.cfg.ReplaceAfter {
 			return
 		}
 	}
--- a/core/control/server_test.go
+++ b/core/control/server_test.go
@@ -161,6 +161,27 @@
 	}
 }
 
+// TestRestartOfAll guards against a new leader that keeps restarted nodes waiting where
+// their names show that their former processes are gone: after a loss of power of all
+// machines, entries refused everything for a second.
+func TestRestartOfAll(t *testing.T) {
+	b := newBench(t)
+	b.server = NewServer(ServerConfig{
+		Self: b.server.cfg.Self, Cluster: cluster, Machine: New(),
+		Duties: DutyConfig{ReplaceAfter: 100 * time.Millisecond},
+	})
+	b.server.Lead(b.now, b.server.cfg.Self)
+	first, second := testEntry(agentNode("a", 1), catalog.RoleAgent), testEntry(agentNode("a", 2), catalog.RoleAgent)
+	b.run(time.Second, first)
+	b.server.Lead(b.now, zinniasill.Node{})
+	b.server.Lead(b.now, b.server.cfg.Self)
+	b.renew(second)
+	b.run(250 * time.Millisecond)
+	if !b.server.machine.Catalog().Alive(second.Node) {
+		t.Error("the restarted node is not listed 250 ms after a leader was elected")
+	}
+}
+
 // TestEpochDuties guards against epochs that follow each other too fast, that miss
 // a change of the agents, and that are kept or dropped at the wrong time.
 func TestEpochDuties(t *testing.T) {
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -12,6 +12,7 @@
 	"zinniasill"
 	"zinniasill/core/catalog"
 	"zinniasill/core/consensus"
+	"zinniasill/core/control"
 	"zinniasill/core/job"
 	"zinniasill/core/message"
 	"zinniasill/core/placement"
@@ -158,6 +159,7 @@
 	role, err := NewControl(ControlConfig{
 		Name: name, Peers: p.members, Folder: s.DataFolder, NewCluster: newCluster,
 		Sender: link, Clock: p.clock, Counters: p.metrics, Log: p.log, Rand: newRand(), Lease: s.Lease,
+		Duties: control.DutyConfig{ReplaceAfter: s.ReplaceAfter},
 	})
 	if err != nil {
 		return nil, err
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -67,6 +67,9 @@
 	NewCluster  bool
 	Lease       time.Duration
 	StopTimeout time.Duration
+	// ReplaceAfter is control.DutyConfig.ReplaceAfter. It has no flag: an adapter sets
+	// it where its names allow a shorter time.
+	ReplaceAfter time.Duration
 	MaxRequests int
 	// EntryRecords and AgentRecords are the limits of the records of an entry and of
 	// an agent in MiB.
