Let control replicas join a group that their settings name in part

The control log showed that two of the operator's four attempts went to the one replica of three that was frozen; an acknowledgement in between was lost on its way.

Replicas take addresses from the membership.

Ruled out: a slow replica; orders were acknowledged within 30 ms.

--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -28,6 +28,9 @@
 	// NewCluster lets the replica form a new cluster with its peers if none of
 	// them has state.
 	NewCluster bool
+	// Open lets replicas join whose names no member has, through any member. Peers then
+	// need not be all replicas: a new one finds the group through those that it knows.
+	Open bool
 	// Rand draws the election timeouts.
 	Rand *rand.Rand
 	// ElectionMin and ElectionMax bound the time without a leader after which a
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -72,19 +72,24 @@
 	r.leading.sendDue = true
 }
 
-// onJoinRequest makes the sender a learner if it takes the place of a member
-// that has lost its disk, or of an admitted name.
+// onJoinRequest makes a replica a learner if it takes the place of a member that has
+// lost its disk, or of an admitted name; in an open group also under a new name.
 func (r *Replica) onJoinRequest(from zinniasill.Node, cluster zinniasill.ClusterID, req JoinRequest) {
 	foreign := cluster != "" && cluster != r.hard.Cluster
-	if r.role != Leader || foreign || req.Member.Node() != from {
+	if foreign || !r.mayAsk(from, req) {
 		return
 	}
+	if r.role != Leader {
+		r.forwardJoin(req)
+		return
+	}
+	from = req.Member.Node()
 	current := r.membership()
 	if current.IsVoter(from) || current.IsLearner(from) {
 		r.send(from, JoinReply{Cluster: r.hard.Cluster})
 		return
 	}
-	if !current.Names(from.ID) {
+	if !current.Names(from.ID) && !r.cfg.Open {
 		r.send(from, JoinReply{Cluster: r.hard.Cluster, Refusal: RefusalUnknownName})
 		return
 	}
@@ -97,12 +102,30 @@
 	}
 }
 
+// mayAsk reports whether a request comes from the replica that it is for, or was passed
+// on by a member.
+func (r *Replica) mayAsk(from zinniasill.Node, req JoinRequest) bool {
+	if req.Forwarded {
+		return r.cfg.Open && r.membership().Names(from.ID)
+	}
+	return req.Member.Node() == from
+}
+
+// forwardJoin passes a request on to the leader. A replica that is not listed in the
+// leader's settings, or does not list the leader, reaches it in this way.
+func (r *Replica) forwardJoin(req JoinRequest) {
+	if r.cfg.Open && !req.Forwarded && r.hard.Cluster != "" && r.leader.ID != "" {
+		req.Forwarded = true
+		r.send(r.leader, req)
+	}
+}
+
 func (r *Replica) answers(node zinniasill.Node) bool {
 	return node == r.self || r.isActive(node)
 }
 
 func (r *Replica) onJoinReply(from zinniasill.Node, reply JoinReply) {
-	listed := indexName(r.cfg.Peers, from.ID) >= 0
+	listed := r.cfg.Open || indexName(r.cfg.Peers, from.ID) >= 0
 	foreign := r.hard.Cluster != "" && r.hard.Cluster != reply.Cluster
 	if !listed || foreign || reply.Cluster == "" {
 		return
--- a/core/consensus/message.go
+++ b/core/consensus/message.go
@@ -117,6 +117,8 @@
 // JoinRequest asks the leader to make the sender a member.
 type JoinRequest struct {
 	Member Member `cbor:"1,keyasint"`
+	// Forwarded is set by a member of an open group that passes the request on.
+	Forwarded bool `cbor:"2,keyasint,omitempty"`
 }
 
 // JoinReply answers a JoinRequest. Refusal is empty when the request is being
--- a/core/consensus/message_test.go
+++ b/core/consensus/message_test.go
@@ -29,7 +29,7 @@
 		ReadRequest{1, 2},
 		ReadReply{1, true, 2, 3},
 		Hello{member, "c", true, "d", true},
-		JoinRequest{member},
+		JoinRequest{member, true},
 		JoinReply{"c", RefusalOldAlive},
 		HardState{"c", 1, node, "d"},
 	}
--- a/core/consensus/replica_test.go
+++ b/core/consensus/replica_test.go
@@ -279,6 +279,32 @@
 	}
 }
 
+// TestOpenGroup guards against a replica that cannot join because only some replicas
+// are listed in its settings: through a follower, under a leader that is not listed,
+// and with an empty disk after it was a member.
+func TestOpenGroup(t *testing.T) {
+	s := newSim(t, 12, 3, true)
+	s.open = true
+	for _, name := range s.names {
+		s.start(name)
+	}
+	s.waitLeader()
+	for i, name := range []zinniasill.NodeID{"d", "e"} {
+		s.procs[name] = &simProcess{member: Member{Name: name, Instance: zinniasill.Incarnation(98 + i)}}
+		s.start(name)
+		s.waitVoter(name)
+	}
+	if !s.waitLeader().replica.Transfer(s.now, "d") && s.waitLeader().member.Name != "d" {
+		t.Fatal("the leadership was not transferred")
+	}
+	s.until("the new replica to lead", 10*time.Second, func() bool {
+		return s.procs["d"].replica.Status().Role == Leader
+	})
+	s.loseDisk("a")
+	s.waitVoter("a")
+	s.commit(s.procs["d"], 3)
+}
+
 // TestSameNameTwice guards against two processes with one name that replace each
 // other without end.
 func TestSameNameTwice(t *testing.T) {
--- a/core/consensus/sim_test.go
+++ b/core/consensus/sim_test.go
@@ -69,6 +69,7 @@
 	repeat   float64
 	delay    time.Duration
 	instance zinniasill.Incarnation
+	open     bool
 	compact  Index
 
 	leaders   map[Term]zinniasill.Node
@@ -114,6 +115,7 @@
 	replica, err := New(Config{
 		Self: p.member, Peers: peers, NewCluster: p.newCluster,
 		Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)), KeepEntries: 20, BatchEntries: 16,
+		Open: s.open,
 	}, recovered)
 	if err != nil {
 		s.t.Fatal(err)
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -27,7 +27,7 @@
 	queued   time.Time
 
 	ordered  time.Time
-	doubted  time.Time // when the start was given up without an answer
+	doubted  time.Time     // when the start was given up without an answer
 	deadline time.Duration // of the start, on the endpoint's clock
 	started  time.Time
 	took     time.Duration // of a run that ended by itself
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -150,15 +150,26 @@
 	}
 	return p.openTransport(link, peer.Config{
 		Listen: s.Listen, Advertise: s.Advertise,
-		Self: role.Node, Deliver: role.Deliver, Resolve: p.memberAddress,
+		Self: role.Node, Deliver: role.Deliver, Resolve: p.controlResolver(role),
 	})
 }
 
+// controlResolver returns the address of a replica, which the settings need not name.
+func (p *Process) controlResolver(role *Control) func(zinniasill.NodeID) (string, bool) {
+	return func(id zinniasill.NodeID) (string, bool) {
+		if address, ok := p.memberAddress(id); ok {
+			return address, true
+		}
+		return role.Address(id)
+	}
+}
+
 func (p *Process) newControl(name zinniasill.NodeID, newCluster bool, link *peer.Loopback) (*Control, error) {
 	s := p.cfg.Settings
 	role, err := NewControl(ControlConfig{
 		Name: name, Peers: p.members, Folder: s.DataFolder, NewCluster: newCluster,
 		Sender: link, Clock: p.clock, Counters: p.metrics, Log: p.log, Rand: newRand(), Lease: s.Lease,
+		Open:   s.OpenGroup,
 		Duties: control.DutyConfig{ReplaceAfter: s.ReplaceAfter},
 	})
 	if err != nil {
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -36,13 +36,15 @@
 	Peers      []consensus.Member
 	Folder     string
 	NewCluster bool
-	Sender     daemon.Sender
-	Clock      zinniasill.Clock
-	Counters   zinniasill.Counters
-	Log        logrus.FieldLogger
-	Rand       *rand.Rand
-	Duties     control.DutyConfig
-	Lease      time.Duration
+	// Open lets replicas join that Peers does not name.
+	Open     bool
+	Sender   daemon.Sender
+	Clock    zinniasill.Clock
+	Counters zinniasill.Counters
+	Log      logrus.FieldLogger
+	Rand     *rand.Rand
+	Duties   control.DutyConfig
+	Lease    time.Duration
 }
 
 // Control is the role of a control replica. Use NewControl.
@@ -78,6 +80,7 @@
 		Self:       c.member(found.Instance),
 		Peers:      cfg.Peers,
 		NewCluster: cfg.NewCluster,
+		Open:       cfg.Open,
 		Rand:       cfg.Rand,
 	}, found.Recovered)
 	if err != nil {
@@ -117,6 +120,19 @@
 	return *c.status.Load()
 }
 
+// Address returns the address of a member of the group.
+func (c *Control) Address(name zinniasill.NodeID) (string, bool) {
+	membership := c.Status().Membership
+	for _, list := range [][]consensus.Member{membership.Voters, membership.Learners, c.cfg.Peers} {
+		for _, member := range list {
+			if member.Name == name && member.Address != "" {
+				return member.Address, true
+			}
+		}
+	}
+	return "", false
+}
+
 // Applied returns the index of the last entry that the replica has applied.
 func (c *Control) Applied() uint64 {
 	return c.applied.Load()
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -67,10 +67,13 @@
 	NewCluster  bool
 	Lease       time.Duration
 	StopTimeout time.Duration
+	// OpenGroup lets control replicas join that Members does not name. It has no flag:
+	// an adapter sets it where processes are told of a few replicas only.
+	OpenGroup bool
 	// ReplaceAfter is control.DutyConfig.ReplaceAfter. It has no flag: an adapter sets
 	// it where its names allow a shorter time.
 	ReplaceAfter time.Duration
-	MaxRequests int
+	MaxRequests  int
 	// EntryRecords and AgentRecords are the limits of the records of an entry and of
 	// an agent in MiB.
 	EntryRecords int
