Let tasks wait at the entry, and endpoints recover from having been slow

Two endpoints that had been slow for 5 s had no work for the next 20 s, because only an end could lower the mean of their run times.

Change: an entry queues a task at an agent only if it is expected to start within 8 ms; else the task waits at the entry, by urgency, for the first agent with room, of which agents report each change (5 ms apart at least). A job is admitted if its last task is expected to start within its slack. Slowness and failures fade with time.

All open endpoints are full in the bad seconds; who is served then is next.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -102,7 +102,8 @@
 	domainsOut map[zinniasill.Domain]bool
 	jobs       map[string]*job
 	requests   map[RequestID]*job
-	// unplaced are the tasks that wait for an agent, oldest first.
+	entries    int
+	// unplaced are the tasks that wait for an agent.
 	unplaced []*task
 	replies  []Reply
 	outbox   []message.Envelope
@@ -135,6 +136,11 @@
 	slices.SortFunc(d.order, compareAgents)
 }
 
+// SetEntries tells the dispatcher how many entries share the agents.
+func (d *Dispatcher) SetEntries(count int) {
+	d.entries = count
+}
+
 // SetDomainsOut replaces the failure domains that are out of service.
 func (d *Dispatcher) SetDomainsOut(domains map[zinniasill.Domain]bool) {
 	d.domainsOut = domains
@@ -149,20 +155,23 @@
 		return
 	}
 	j := newJob(now, request, spec)
-	plan := d.plan(now, j.ready())
-	if plan.reason != "" {
+	loads := d.loads(now)
+	wait, reason := d.admit(j, loads)
+	if reason != "" {
 		d.record("job-refused", slog.String("job", spec.ID), slog.String("queue", spec.Queue),
-			slog.String("reason", string(plan.reason)), slog.Duration("wait", plan.wait),
-			slog.Duration("patience", j.patience()), slog.Int("tasks", len(plan.places)))
-		d.reply(j, Refused, plan.reason, plan.wait)
+			slog.String("reason", string(reason)), slog.Duration("wait", wait),
+			slog.Duration("patience", j.patience()), slog.Int("tasks", len(j.tasks)),
+			slog.Int("unplaced", len(d.unplaced)))
+		d.reply(j, Refused, reason, wait)
 		return
 	}
 	d.jobs[spec.ID] = j
 	d.requests[request] = j
 	d.record("job-taken", slog.String("job", spec.ID), slog.String("queue", spec.Queue),
-		slog.Int("tasks", len(plan.places)), slog.Duration("wait", plan.wait),
-		slog.Duration("goal", j.goal))
-	d.assign(now, plan.places)
+		slog.Int("tasks", len(j.tasks)), slog.Duration("wait", wait),
+		slog.Duration("goal", j.goal), slog.Int("unplaced", len(d.unplaced)))
+	d.unplaced = append(d.unplaced, j.ready()...)
+	d.placeAgain(now)
 }
 
 // Abandon handles a caller that has gone. A job without callers is withdrawn.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -33,6 +33,9 @@
 	avoidPenalty = 2 * time.Second
 	// remoteFactor is how much longer a task takes away from its data.
 	remoteFactor = 1.5
+	// aheadLimit is the expected wait up to which a task is queued at an agent. It covers
+	// the time in which the news of free room and the task travel.
+	aheadLimit = 8 * time.Millisecond
 	// busyWait is assumed for a full endpoint that reports nothing else.
 	busyWait = 100 * time.Millisecond
 )
@@ -43,14 +46,6 @@
 	agent *agent
 }
 
-// plan has a place for each task, or the reason why there is none. Wait is the
-// longest expected wait for a start.
-type plan struct {
-	places []place
-	wait   time.Duration
-	reason zinniasill.Reason
-}
-
 // patience returns the longest wait at which a job is still taken. It answers an
 // overload that lasts: taking more than can be started in time makes all jobs late,
 // while a refused caller knows at once.
@@ -59,29 +54,59 @@
 }
 
 // patienceFactor allows for estimates of the wait that are too high.
-const patienceFactor = 2
+const patienceFactor = 1
 
-// plan chooses an agent for each task: the one at which it is expected to end first,
-// with regard to what the plan itself has placed there before.
-func (d *Dispatcher) plan(now time.Time, tasks []*task) plan {
-	loads := d.loads(now)
-	p := plan{places: make([]place, 0, len(tasks))}
+// admit returns the expected wait of a job's last task, and the reason to refuse the
+// job if it cannot meet its objective. The entry's own backlog of work that is not less
+// urgent counts once for each entry, since others have about the same.
+func (d *Dispatcher) admit(j *job, loads []*load) (time.Duration, zinniasill.Reason) {
 	if len(loads) == 0 {
-		return plan{reason: zinniasill.ReasonNoEndpoint}
+		return 0, zinniasill.ReasonNoEndpoint
+	}
+	backlog := int64(0)
+	for _, t := range d.unplaced {
+		if t.job.Priority <= j.Priority {
+			backlog += t.job.Steps[t.step].Need.MilliCPU
+		}
+	}
+	backlog *= int64(max(d.entries, 1))
+	wait := time.Duration(0)
+	if backlog > 0 {
+		wait = freeingTime(backlog, loads)
+	}
+	tried := make([]*load, 0, len(loads))
+	for _, l := range loads {
+		copied := *l
+		copied.placed = nil
+		tried = append(tried, &copied)
 	}
-	for _, t := range tasks {
-		best := choose(t, loads)
+	longest := time.Duration(0)
+	for _, t := range j.ready() {
+		best := choose(t, tried)
 		if best == nil {
-			return plan{reason: zinniasill.ReasonNoEndpoint}
+			return 0, zinniasill.ReasonNoEndpoint
 		}
-		p.wait = max(p.wait, best.wait(t))
+		longest = max(longest, best.wait(t))
 		best.add(t)
-		p.places = append(p.places, place{task: t, agent: best.agent})
 	}
-	if len(tasks) > 0 && p.wait > tasks[0].job.patience() {
-		p.reason = zinniasill.ReasonOverload
+	wait += longest
+	if wait > j.patience() {
+		return wait, zinniasill.ReasonOverload
+	}
+	return wait, ""
+}
+
+// freeingTime returns how long all endpoints together take to give back an amount of
+// processor.
+func freeingTime(milliCPU int64, loads []*load) time.Duration {
+	freeing := int64(0)
+	for _, l := range loads {
+		freeing += l.agent.room.Freeing
+	}
+	if freeing <= 0 {
+		return busyWait
 	}
-	return p
+	return time.Duration(float64(milliCPU) / float64(freeing) * float64(time.Second))
 }
 
 // load is the expected load of one agent while a plan is made.
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -100,30 +101,88 @@
 	d.finish(now, j, Refused, reason)
 }
 
-// placeAgain places the tasks that wait for an agent. A task that has found none
-// until its job is far too late is given up.
+// placeAgain places the tasks that wait, most urgent first, as far as there is room. It
+// answers load near the capacity: a task that waits here goes to the first agent with
+// room, while one that is queued at an agent waits for that agent.
 func (d *Dispatcher) placeAgain(now time.Time) {
 	if len(d.unplaced) == 0 {
 		return
 	}
-	waiting := d.unplaced
-	d.unplaced = nil
-	for _, t := range waiting {
-		if t.job.ended || t.agent != nil || t.done {
+	d.dropHopeless(now)
+	slices.SortStableFunc(d.unplaced, func(a, b *task) int { return compareUrgency(now, a, b) })
+	loads := d.loads(now)
+	var places []place
+	kept := d.unplaced[:0]
+	full := false
+	for _, t := range d.unplaced {
+		var best *load
+		if !full {
+			best = choose(t, loads)
+		}
+		if best == nil || best.wait(t) > aheadLimit {
+			// Tasks behind one that does not fit wait too, so that large tasks are not
+			// starved by small ones.
+			full = full || best != nil
+			kept = append(kept, t)
 			continue
 		}
-		places := d.plan(now, []*task{t})
-		switch {
-		case places.reason == "":
-			d.assign(now, places.places)
-		case places.wait == 0 && now.Sub(t.job.arrived) < lateFactor*t.job.goal:
-			d.unplaced = append(d.unplaced, t)
-		default:
-			d.giveUp(now, t.job, places.reason)
+		best.add(t)
+		places = append(places, place{task: t, agent: best.agent})
+	}
+	d.unplaced = kept
+	d.assign(now, places)
+}
+
+// dropHopeless gives up the jobs of waiting tasks whose answer would be of no use any
+// more, and forgets tasks of ended jobs.
+func (d *Dispatcher) dropHopeless(now time.Time) {
+	hopeless := map[*job]bool{}
+	d.unplaced = slices.DeleteFunc(d.unplaced, func(t *task) bool {
+		return t.job.ended || t.agent != nil || t.done
+	})
+	for _, t := range d.unplaced {
+		if now.Sub(t.job.arrived)+t.job.Steps[t.step].Estimate > lateFactor*t.job.goal {
+			hopeless[t.job] = true
+		}
+	}
+	for _, t := range slices.Clone(d.unplaced) {
+		if hopeless[t.job] {
+			d.giveUp(now, t.job, zinniasill.ReasonOverload)
 		}
 	}
 }
 
+// compareUrgency orders waiting tasks: those that can still meet their objective first,
+// then by priority, then by the time at which they must start.
+func compareUrgency(now time.Time, a, b *task) int {
+	return cmp.Or(
+		compareBool(a.late(now), b.late(now)),
+		cmp.Compare(a.job.Priority, b.job.Priority),
+		a.due().Compare(b.due()),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// due returns when the task must start for its job to meet the objective.
+func (t *task) due() time.Time {
+	return t.job.arrived.Add(t.job.slack())
+}
+
+func (t *task) late(now time.Time) bool {
+	return now.After(t.due())
+}
+
 // GiveUpAll answers all jobs in progress, before the process ends.
 func (d *Dispatcher) GiveUpAll(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -69,7 +69,7 @@
 	t.ordered = now
 	t.deadline = s.endpointClock(now) + startDeadline
 	s.active[t.id] = t
-	s.used = s.used.Add(t.need)
+	s.setUsed(s.used.Add(t.need))
 	s.noteRun(now, t.id, t.run)
 	s.issue(now, Call{
 		Start: &zinniasill.StartOrder{
@@ -165,7 +165,7 @@
 // requeue puts a task that was not started back into the queue.
 func (s *Supervisor) requeue(t *task) {
 	delete(s.active, t.id)
-	s.used = s.used.Sub(t.need)
+	s.setUsed(s.used.Sub(t.need))
 	t.step(eventWait)
 	s.queue = append([]*task{t}, s.queue...)
 }
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -153,7 +153,7 @@
 func (s *Supervisor) close(t *task, event chart.Event, state message.RunState, reason zinniasill.Reason) {
 	if s.active[t.id] == t {
 		delete(s.active, t.id)
-		s.used = s.used.Sub(t.need)
+		s.setUsed(s.used.Sub(t.need))
 	}
 	t.step(event)
 	t.owner.out.Push(message.TaskUpdate{
@@ -175,3 +175,9 @@
 	})
 	return tasks
 }
+
+// setUsed changes the room in use, which entries are told.
+func (s *Supervisor) setUsed(used resource.Amount) {
+	s.used = used
+	s.roomVersion++
+}
--- a/core/executor/room.go
+++ b/core/executor/room.go
@@ -9,9 +9,11 @@
 
 // speed is what an endpoint's ends say about it.
 type speed struct {
-	// slowness is the mean run time by the estimate, in thousandths, 0 before the
-	// first end.
-	slowness float64
+	// slowness is the mean run time by the estimate, 0 before the first end. What it is
+	// above or below 1 fades with time, so that an endpoint that gets no work because it
+	// was slow is tried again.
+	slowness   float64
+	slownessAt time.Time
 	// failing is the share of failures among the last ends. It fades with time, so that
 	// an endpoint that gets no work is tried again.
 	failing   float64
@@ -33,6 +35,9 @@
 	minSlowness = 0.5
 	// thousand is the scale of shares in reports.
 	thousand = 1000
+	// slownessHalf is the time without an end in which an endpoint comes half way back to
+	// counting as usual.
+	slownessHalf = 1500 * time.Millisecond
 	// maxRatio bounds what one run says: estimates are rough.
 	maxRatio = 10.0
 )
@@ -40,11 +45,21 @@
 func (sp *speed) done(now time.Time, took, estimate time.Duration) {
 	sp.fade(now)
 	sp.failing *= 1 - newFailureShare
+	sp.settle(now)
 	if estimate > 0 {
 		sp.note(float64(took) / float64(estimate))
 	}
 }
 
+// settle lets the slowness come back to 1 with the time since the last end.
+func (sp *speed) settle(now time.Time) {
+	if sp.slowness > 0 {
+		share := math.Exp2(-float64(now.Sub(sp.slownessAt)) / float64(slownessHalf))
+		sp.slowness = 1 + (sp.slowness-1)*share
+	}
+	sp.slownessAt = now
+}
+
 func (sp *speed) failed(now time.Time) {
 	sp.fade(now)
 	sp.failing += (1 - sp.failing) * newFailureShare
@@ -93,6 +108,9 @@
 // room returns the report on the endpoint.
 func (s *Supervisor) room(now time.Time) message.Room {
 	s.speed.fade(now)
+	if len(s.active) == 0 {
+		s.speed.settle(now)
+	}
 	room := message.Room{
 		Open: s.open(now), Capacity: s.known.Capacity, Used: s.used,
 		Kind: s.known.Kind, Domain: s.cfg.Domain, Labels: s.known.Labels,
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -20,9 +20,15 @@
 	alive   time.Time // the entry's tasks live until then
 	heard   time.Time
 	reply   bool
+	sent    time.Time
+	version uint64 // of the room in the last report
 	expired bool
 }
 
+// newsEvery is the least time between two reports to an entry that only tell of changed
+// room.
+const newsEvery = 5 * time.Millisecond
+
 // sessionMemory is how long a silent entry is remembered.
 const sessionMemory = time.Minute
 
@@ -161,10 +167,13 @@
 	}
 	for _, id := range s.sortedSessions() {
 		sess := s.sessions[id]
-		if !sess.reply && !sess.out.Due(now) {
+		news := sess.version != s.roomVersion && now.Sub(sess.sent) >= newsEvery && now.Before(sess.alive)
+		if !sess.reply && !sess.out.Due(now) && !news {
 			continue
 		}
 		sess.reply = false
+		sess.sent = now
+		sess.version = s.roomVersion
 		first, updates := sess.out.Batch(now)
 		s.outbox = append(s.outbox, message.Envelope{
 			Version: message.Version,
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -103,13 +103,15 @@
 	queue    []*task
 	active   map[zinniasill.TaskID]*task
 	used     resource.Amount
-	blocked  time.Time // no start before
-	runs     map[zinniasill.TaskID]lastRun
-	strays   map[zinniasill.TaskID]time.Time
-	pruned   time.Time
-	hold     holding
-	orders   orderTimes
-	speed    speed
+	// roomVersion rises with each change of the room in use.
+	roomVersion uint64
+	blocked     time.Time // no start before
+	runs        map[zinniasill.TaskID]lastRun
+	strays      map[zinniasill.TaskID]time.Time
+	pruned      time.Time
+	hold        holding
+	orders      orderTimes
+	speed       speed
 
 	lastCall CallID
 	waiting  map[CallID]pendingCall
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -38,7 +38,7 @@
 func load(w *directmodel.World, every, length time.Duration) int {
 	count := 0
 	for end := w.Now.Add(length); w.Now.Before(end); count++ {
-		w.Submit(count%len(w.Entries), directmodel.Job(fmt.Sprintf("job-%d", count), 4, 60*time.Millisecond))
+		w.Submit(count%len(w.Entries), directmodel.Job(fmt.Sprintf("job-%d-%d", w.Now.UnixNano(), count), 4, 60*time.Millisecond))
 		w.Run(every)
 	}
 	return count
@@ -82,3 +82,54 @@
 	}
 	noViolations(t, w)
 }
+
+// TestSlowEndpointRecovers guards against an endpoint that gets no work for good after
+// it was slow for a while, and against one that gets its usual share while it is slow.
+func TestSlowEndpointRecovers(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 3, Agents: 4})
+	w.Settle()
+	slow := w.Agents[1].Endpoint
+	starts := func(length time.Duration) (own, all int) {
+		before := slow.Starts
+		for _, a := range w.Agents {
+			all -= a.Endpoint.Starts
+		}
+		load(w, 12*time.Millisecond, length)
+		for _, a := range w.Agents {
+			all += a.Endpoint.Starts
+		}
+		return slow.Starts - before, all
+	}
+	slow.Faults.Slow = 8
+	load(w, 12*time.Millisecond, time.Second)
+	own, all := starts(2 * time.Second)
+	if own*10 > all {
+		t.Errorf("the slow endpoint of four got %d of %d starts", own, all)
+	}
+	slow.Faults.Slow = 1
+	load(w, 12*time.Millisecond, 5*time.Second)
+	own, all = starts(2 * time.Second)
+	if own*8 < all {
+		t.Errorf("the endpoint of four that has recovered got %d of %d starts", own, all)
+	}
+	noViolations(t, w)
+}
+
+// TestFailingEndpoint guards against an endpoint that fails everything it starts and so
+// looks free: its share must fall soon, and its failures must not fail jobs.
+func TestFailingEndpoint(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 3, Agents: 4})
+	w.Settle()
+	failing := w.Agents[2].Endpoint
+	failing.Faults.Fail = true
+	count := load(w, 12*time.Millisecond, 4*time.Second)
+	w.Run(time.Second)
+	_, completed := percentile(w, 0.5)
+	if completed < count*98/100 {
+		t.Errorf("%d of %d jobs were completed", completed, count)
+	}
+	if failing.Starts*10 > count*4 {
+		t.Errorf("the failing endpoint got %d of %d starts", failing.Starts, count*4)
+	}
+	noViolations(t, w)
+}
