--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -78,10 +78,8 @@
 
 // Values of RunState.
 const (
-	// RunStarted means that the task is running.
-	RunStarted RunState = iota + 1
 	// RunDone means that the task has ended with success.
-	RunDone
+	RunDone RunState = iota + 1
 	// RunFailed means that the task ran and failed.
 	RunFailed
 	// RunReturned means that the task is not running and will not start. It may
--- a/internal/directmodel/world.go
+++ b/internal/directmodel/world.go
@@ -214,9 +214,9 @@
 	step := job.Steps[0]
 	w.specs[job.ID] = spec{need: step.Need, run: step.Estimate}
 	w.submitted[w.last] = submission{job: job.ID, at: w.Now}
-	w.Entries[entry].Dispatcher.Submit(w.Now, w.last, job)
-	w.flushEntry(w.Entries[entry])
-	return w.last
+	request, e := w.last, w.Entries[entry]
+	w.toEntry(e, e.life, func() { e.Submit(w.Now, request, job) })
+	return request
 }
 
 // After has something happen at a time from now.
@@ -243,12 +243,12 @@
 			w.toAgent(a, a.life, func() { a.Announce(w.Now, a.Endpoint.announcement()) })
 		}
 		if tick {
-			w.toAgent(a, a.life, func() { a.Supervisor.Tick(w.Now) })
+			w.toAgent(a, a.life, func() { a.Tick(w.Now) })
 		}
 	}
 	for _, e := range w.Entries {
 		if tick {
-			w.toEntry(e, e.life, func() { e.Dispatcher.Tick(w.Now) })
+			w.toEntry(e, e.life, func() { e.Tick(w.Now) })
 		}
 	}
 	w.check()
@@ -281,7 +281,7 @@
 	}
 	do()
 	a.Flush(w.Now)
-	for _, env := range a.Supervisor.Outbox() {
+	for _, env := range a.Outbox() {
 		w.send(a.id, env)
 	}
 	for _, call := range a.Calls() {
@@ -303,15 +303,12 @@
 
 func (w *World) flushEntry(e *Entry) {
 	e.Flush(w.Now)
-	for _, env := range e.Dispatcher.Outbox() {
+	for _, env := range e.Outbox() {
 		w.send(e.id, env)
 	}
 	for _, reply := range e.Replies() {
 		sent := w.submitted[reply.Request]
 		w.Answers = append(w.Answers, Answer{Reply: reply, Job: sent.job, After: w.Now.Sub(sent.at)})
-		if reply.Result == dispatch.Refused && w.started[sent.job] {
-			w.violate("job %s was refused as not run, but a task had started", sent.job)
-		}
 	}
 }
 
@@ -323,12 +320,12 @@
 	w.After(linkDelay, func() {
 		for _, a := range w.Agents {
 			if a.id == env.To.ID {
-				w.toAgent(a, a.life, func() { a.Supervisor.Receive(w.Now, env) })
+				w.toAgent(a, a.life, func() { a.Receive(w.Now, env) })
 			}
 		}
 		for _, e := range w.Entries {
 			if e.id == env.To.ID {
-				w.toEntry(e, e.life, func() { e.Dispatcher.Receive(w.Now, env) })
+				w.toEntry(e, e.life, func() { e.Receive(w.Now, env) })
 			}
 		}
 	})
@@ -428,3 +425,28 @@
 		r.world.cfg.Log(r.world.Now.Sub(r.world.began), r.who, decision, inputs)
 	}
 }
+
+// CheckRefusals records the jobs of which a task started although each submission was
+// refused. It is to be called at the end: a refused task may start later.
+func (w *World) CheckRefusals() {
+	tries := map[string]int{}
+	for _, sent := range w.submitted {
+		tries[sent.job]++
+	}
+	for _, answer := range w.Answers {
+		if answer.Result == dispatch.Refused {
+			tries[answer.Job]--
+		}
+	}
+	for job, others := range tries {
+		if others == 0 && w.started[job] {
+			w.violate("job %s was refused as not run, but a task started", job)
+		}
+	}
+}
+
+// Gone reports whether the life of an entry that a dispatcher belongs to has ended.
+func (w *World) Gone(entry int, life *dispatch.Dispatcher) bool {
+	e := w.Entries[entry]
+	return e.dead || e.Dispatcher != life
+}
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -29,6 +29,7 @@
 
 func noViolations(t *testing.T, w *directmodel.World) {
 	t.Helper()
+	w.CheckRefusals()
 	for _, violation := range w.Violations {
 		t.Error(violation)
 	}
