Give nodes the configuration before they are registered

Change: an unregistered node gets the configuration at once, without a lease; a node without a lease asks another replica after 150 ms; an entry takes jobs for 200 ms before its first agents have reported. TestEarlyCatalog (no reply at all before).

--- a/cmd/zinniasill-platform/main.go
+++ b/cmd/zinniasill-platform/main.go
@@ -65,6 +65,7 @@
 	log := logrus.New()
 	log.SetOutput(os.Stdout)
 	log.SetFormatter(&logrus.JSONFormatter{})
+	log.WithFields(logrus.Fields{"role": role, "version": version, "node": s.Process.Name}).Info("starting")
 	counters := metrics.New()
 	decisions := decision.New(decision.Config{Log: log, Clock: daemon.SystemClock{}, Counters: counters})
 	adapter := platform.New(platform.Config{Settings: s, Log: log, Counters: counters, Recorder: decisions})
--- a/core/control/answers.go
+++ b/core/control/answers.go
@@ -48,6 +48,8 @@
 type confirmedWaiter struct {
 	waiter
 	index uint64
+	// told is set once the waiter got an early answer.
+	told bool
 }
 
 func (a *answers) add(w waiter) {
@@ -92,6 +94,17 @@
 	}
 }
 
+// early calls tell once for each confirmed request that the applied state suffices for.
+func (a *answers) early(applied uint64, tell func(waiter)) {
+	for i := range a.confirmedAt {
+		w := &a.confirmedAt[i]
+		if !w.told && w.index <= applied {
+			w.told = true
+			tell(w.waiter)
+		}
+	}
+}
+
 // take removes and returns the confirmed requests that the applied state suffices
 // for and that are ready.
 func (a *answers) take(applied uint64, ready func(waiter) bool) []waiter {
--- a/core/control/server.go
+++ b/core/control/server.go
@@ -147,6 +147,7 @@
 
 // answerReady answers the requests whose read index is applied.
 func (s *Server) answerReady() {
+	s.answers.early(s.machine.Applied(), s.tellEarly)
 	for _, w := range s.answers.take(s.machine.Applied(), s.ready) {
 		if w.renew != nil {
 			s.reply(*w.renew)
@@ -156,13 +157,26 @@
 	}
 }
 
+// tellEarly sends a node that is not registered yet the configuration without a lease.
+// It answers a restart of all processes: entries can serve with it, and registration
+// takes a commit and the time after which an earlier incarnation may be replaced.
+func (s *Server) tellEarly(w waiter) {
+	if w.renew != nil && !s.ready(w) {
+		s.replyFor(*w.renew, 0)
+	}
+}
+
 // reply answers a renewal. It must run only after a read index that was asked for
 // after the renewal arrived has been confirmed and applied: otherwise a replica
 // that was cut off would extend leases without knowing the latest changes.
 func (s *Server) reply(renew message.Renew) {
+	s.replyFor(renew, s.cfg.LeaseLength)
+}
+
+func (s *Server) replyFor(renew message.Renew, length time.Duration) {
 	body := message.RenewReply{
 		Sequence: renew.Sequence,
-		Length:   s.cfg.LeaseLength,
+		Length:   length,
 		Revision: s.machine.catalog.Revision,
 	}
 	if s.machine.Dead(renew.Entry.Node) {
--- a/core/control/server_test.go
+++ b/core/control/server_test.go
@@ -182,6 +182,28 @@
 	}
 }
 
+// TestEarlyCatalog guards against nodes that get the configuration only once they are
+// registered, and against a lease for a node that nothing watches yet.
+func TestEarlyCatalog(t *testing.T) {
+	b := newBench(t)
+	b.hold = true
+	entry := testEntry(agentNode("a", 1), catalog.RoleEntry)
+	b.renew(entry)
+	b.step()
+	if len(b.replies) != 1 || b.replies[0].Length != 0 {
+		t.Fatalf("replies before the registration: %+v", b.replies)
+	}
+	b.step()
+	if len(b.replies) != 1 {
+		t.Errorf("%d early replies, want 1", len(b.replies))
+	}
+	b.hold = false
+	b.run(500*time.Millisecond, entry)
+	if last := b.replies[len(b.replies)-1]; last.Length == 0 {
+		t.Errorf("no lease after the registration: %+v", last)
+	}
+}
+
 // TestEpochDuties guards against epochs that follow each other too fast, that miss
 // a change of the agents, and that are kept or dropped at the wrong time.
 func TestEpochDuties(t *testing.T) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -99,6 +99,7 @@
 	cfg        Config
 	agents     map[zinniasill.NodeID]*agent
 	order      []*agent // by id
+	learned    time.Time
 	domainsOut map[zinniasill.Domain]bool
 	jobs       map[string]*job
 	requests   map[RequestID]*job
@@ -134,6 +135,9 @@
 		d.record("agent-learned", slog.String("agent", string(entry.ID)))
 	}
 	slices.SortFunc(d.order, compareAgents)
+	if d.learned.IsZero() && len(d.order) > 0 {
+		d.learned = now
+	}
 }
 
 // SetEntries tells the dispatcher how many entries share the agents.
@@ -156,7 +160,7 @@
 	}
 	j := newJob(now, request, spec)
 	loads := d.loads(now)
-	wait, reason := d.admit(j, loads)
+	wait, reason := d.admit(now, j, loads)
 	if reason != "" {
 		d.record("job-refused", slog.String("job", spec.ID), slog.String("queue", spec.Queue),
 			slog.String("reason", string(reason)), slog.Duration("wait", wait),
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -36,6 +36,9 @@
 	// aheadLimit is the expected wait up to which a task is queued at an agent. It covers
 	// the time in which the news of free room and the task travel.
 	aheadLimit = 8 * time.Millisecond
+	// firstReports is the time after an entry has learned of its first agents in which it
+	// takes jobs although none has reported yet.
+	firstReports = 200 * time.Millisecond
 	// busyWait is assumed for a full endpoint that reports nothing else.
 	busyWait = 100 * time.Millisecond
 )
@@ -59,7 +62,10 @@
 // admit returns the expected wait of a job's last task, and the reason to refuse the
 // job if it cannot meet its objective. The entry's own backlog of work that is not less
 // urgent counts once for each entry, since others have about the same.
-func (d *Dispatcher) admit(j *job, loads []*load) (time.Duration, zinniasill.Reason) {
+func (d *Dispatcher) admit(now time.Time, j *job, loads []*load) (time.Duration, zinniasill.Reason) {
+	if len(loads) == 0 && now.Sub(d.learned) < firstReports {
+		return 0, ""
+	}
 	if len(loads) == 0 {
 		return 0, zinniasill.ReasonNoEndpoint
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -29,6 +29,9 @@
 	// ReplyTimeout is the time without an answer after which the next replica is
 	// asked. It leaves room for three further attempts within a lease of 2 s.
 	ReplyTimeout = 400 * time.Millisecond
+	// FirstReplyTimeout is the ReplyTimeout of a node without a lease. It has nothing to
+	// lose by asking others soon, and much to win after a restart of all processes.
+	FirstReplyTimeout = 150 * time.Millisecond
 	// MinGap is the least time between two renewals, so that frequent updates of
 	// the node's entry do not load the replicas.
 	MinGap = 50 * time.Millisecond
@@ -180,9 +183,13 @@
 		h.renew(now)
 		return
 	}
+	timeout := ReplyTimeout
+	if !h.valid(now) {
+		timeout = FirstReplyTimeout
+	}
 	since := now.Sub(h.sent[len(h.sent)-1].at)
 	switch {
-	case h.unanswered.sequence != 0 && now.Sub(h.unanswered.at) >= ReplyTimeout:
+	case h.unanswered.sequence != 0 && now.Sub(h.unanswered.at) >= timeout:
 		h.replica = (h.replica + 1) % len(h.replicas)
 		h.unanswered = renewal{}
 		h.renew(now)
@@ -246,6 +253,10 @@
 	if h.catalog.Revision < reply.Revision {
 		return
 	}
+	if reply.Length == 0 {
+		// The configuration came before the registration of the node.
+		return
+	}
 	h.length = reply.Length
 	expiry := at.Add(reply.Length * clockRateNumerator / clockRateDenominator)
 	if expiry.After(h.expiry) {
