Never call a run that was lost with its endpoint not started

A start was carried out at 8.050 s, the endpoint crashed in the same millisecond and did not answer; when its lease had lapsed the agent returned the task as not started, and the entry refused the job with 503.

Change: whatever is at an endpoint whose life or lease ends may have run. The backlog that counts at admission leaves out work that is late already.

Tests: TestRunLostWithItsEndpoint, and TestRandomFaults with orders that are carried out without an answer (both failed before).

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -49,16 +49,13 @@
 	agent *agent
 }
 
-// patience returns the longest wait at which a job is still taken. It answers an
+// patience returns the longest expected wait at which a job is taken. It answers an
 // overload that lasts: taking more than can be started in time makes all jobs late,
 // while a refused caller knows at once.
 func (j *job) patience() time.Duration {
-	return j.slack() * patienceFactor
+	return j.slack()
 }
 
-// patienceFactor allows for estimates of the wait that are too high.
-const patienceFactor = 1
-
 // admit returns the expected wait of a job's last task, and the reason to refuse the
 // job if it cannot meet its objective. The entry's own backlog of work that is not less
 // urgent counts once for each entry, since others have about the same.
@@ -71,7 +68,7 @@
 	}
 	backlog := int64(0)
 	for _, t := range d.unplaced {
-		if t.job.Priority <= j.Priority {
+		if t.job.Priority <= j.Priority && !t.late(now) {
 			backlog += t.job.Steps[t.step].Need.MilliCPU
 		}
 	}
--- a/core/executor/hold.go
+++ b/core/executor/hold.go
@@ -242,6 +242,8 @@
 		s.record("runs-lost", slog.String("reason", string(reason)), slog.Int("runs", len(s.active)))
 	}
 	for _, t := range s.sortedActive() {
+		// A start without an answer may have been carried out before the end.
+		t.ran = true
 		s.close(t, eventDrop, message.RunReturned, reason)
 	}
 }
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -46,7 +46,7 @@
 	case "crash":
 		endpoint.Restart()
 	case "unanswered":
-		endpoint.Faults.Late = 2 * time.Second
+		endpoint.Faults.Late = rapid.SampledFrom([]time.Duration{time.Millisecond, 2 * time.Second}).Draw(t, "late")
 		count := 0
 		endpoint.Faults.Unanswered = func(executor.Call) bool { count++; return count%5 == 0 }
 		w.After(length, func() { endpoint.Faults.Unanswered = nil })
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -134,3 +134,22 @@
 	}
 	noViolations(t, w)
 }
+
+// TestRunLostWithItsEndpoint guards against a refusal as "not run" of a job whose start
+// was carried out without an answer, right before its endpoint crashed.
+func TestRunLostWithItsEndpoint(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 1, Agents: 1})
+	w.Settle()
+	endpoint := w.Agents[0].Endpoint
+	endpoint.Faults.Late = time.Millisecond
+	endpoint.Faults.Unanswered = func(executor.Call) bool { return true }
+	w.Submit(0, directmodel.Job("a", 2, 60*time.Millisecond))
+	w.Run(5 * time.Millisecond)
+	endpoint.Faults.Silent = true
+	w.After(500*time.Millisecond, endpoint.Restart)
+	w.Run(5 * time.Second)
+	if endpoint.Starts == 0 || len(w.Answers) == 0 {
+		t.Fatalf("%d starts, %d answers", endpoint.Starts, len(w.Answers))
+	}
+	noViolations(t, w)
+}
