Keep replicas that start together from splitting the votes

The control log shows four of five replicas standing for election within 5 ms at 35.87 s, and the next election at 36.36 s.

Change: a replica that grants a pre-vote puts its own election off, and of two that ask at the same time the one with the lower id goes on; the first timeouts are spread over 225 ms instead of 100 ms.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -79,10 +79,24 @@
 	term := r.hard.Term
 	if granted {
 		term = req.Term
+		r.makeWay(from)
 	}
 	r.send(from, PreVoteReply{Term: term, Granted: granted})
 }
 
+// makeWay lets a replica that may be elected go first. It answers a restart of all
+// replicas, which would otherwise stand for election together and split the votes. Of
+// two that ask at the same time, the one with the lower id goes on.
+func (r *Replica) makeWay(other zinniasill.Node) {
+	switch {
+	case r.role == Follower:
+		r.resetDeadline()
+	case r.role == PreCandidate && other.Compare(r.self) < 0:
+		r.becomeFollower(r.hard.Term, zinniasill.Node{})
+		r.resetDeadline()
+	}
+}
+
 func (r *Replica) onPreVoteReply(from zinniasill.Node, reply PreVoteReply) {
 	if !reply.Granted {
 		if reply.Term > r.hard.Term {
--- a/core/consensus/replica.go
+++ b/core/consensus/replica.go
@@ -9,9 +9,10 @@
 	"zinniasill/core/message"
 )
 
-// firstElectionShare is the part of an election timeout that a replica waits after its
-// start.
-const firstElectionShare = 3
+// firstElectionShare is the part of the shortest election timeout that a replica waits
+// at least before its first election. It waits the whole of it at most: the spread has
+// to be well above the time of an election, or votes are split.
+const firstElectionShare = 4
 
 // membershipAt is the membership from an index on.
 type membershipAt struct {
@@ -172,15 +173,18 @@
 	r.now = now
 	if r.deadline.IsZero() {
 		r.resetDeadline()
-		// A replica that starts has heard no leader. If there is one, the others refuse
-		// its pre-vote, so it need not wait as long as after the loss of a leader.
-		r.deadline = now.Add(r.deadline.Sub(now) / firstElectionShare)
 	}
 }
 
 func (r *Replica) resetDeadline() {
-	timeout := r.cfg.ElectionMin
-	if spread := r.cfg.ElectionMax - r.cfg.ElectionMin; spread > 0 {
+	shortest, longest := r.cfg.ElectionMin, r.cfg.ElectionMax
+	if r.heard.IsZero() && r.role != Leader {
+		// A replica that has heard no leader since its start need not wait as long as
+		// after the loss of one. If there is a leader, the others refuse its pre-vote.
+		shortest, longest = r.cfg.ElectionMin/firstElectionShare, r.cfg.ElectionMin
+	}
+	timeout := shortest
+	if spread := longest - shortest; spread > 0 {
 		timeout += time.Duration(r.cfg.Rand.Int64N(int64(spread)))
 	}
 	r.deadline = r.now.Add(timeout)
--- a/core/consensus/replica_test.go
+++ b/core/consensus/replica_test.go
@@ -322,6 +322,32 @@
 	}
 }
 
+// TestElectionAfterRestartOfAll guards against split votes after all replicas have
+// started at the same moment: four of five once stood for election within 5 ms, and the
+// next election came half a second later.
+func TestElectionAfterRestartOfAll(t *testing.T) {
+	var sum, longest time.Duration
+	const rounds = 200
+	for seed := range uint64(rounds) {
+		s := newSim(t, 100+seed, 5, true)
+		s.waitLeader()
+		s.run(time.Second)
+		began := s.now
+		s.network = nil // What was on its way is lost with the power.
+		for _, name := range s.names {
+			s.start(name)
+		}
+		s.waitLeader()
+		took := s.now.Sub(began)
+		sum += took
+		longest = max(longest, took)
+	}
+	// An election takes two round trips, of 40 ms each here, after the first deadline.
+	if mean := sum / rounds; mean > 300*time.Millisecond || longest > 500*time.Millisecond {
+		t.Errorf("a leader after %v on average, %v at most", mean, longest)
+	}
+}
+
 // TestTransfer guards against a planned stop that has to wait for an election.
 func TestTransfer(t *testing.T) {
 	s := newSim(t, 17, 3, true)
