Let entries know how much waits at the others

The expected wait was 25 to 40 ms too short: an entry took its own backlog times the number of entries for the whole, and one entry can have nothing waiting while the others have 17 tasks.

Change: entries send what waits, by priority, with each message to an agent, and agents report the sum of the others.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -153,6 +153,7 @@
 // Flush sends each agent its commands, or a heartbeat when one is due. The loop calls
 // it after each step.
 func (d *Dispatcher) Flush(now time.Time) {
+	var waiting []int64
 	for _, a := range d.order {
 		if !a.silent && a.life != 0 && now.Sub(a.heard) > SilentAfter {
 			a.silent = true
@@ -162,14 +163,26 @@
 			continue
 		}
 		a.sent = now
+		if waiting == nil {
+			waiting = d.waiting()
+		}
 		first, commands := a.out.Batch(now)
 		d.outbox = append(d.outbox, message.Envelope{
 			Version: message.Version,
 			To:      zinniasill.Node{ID: a.id},
 			Body: message.Assign{
 				Entry: d.cfg.Self.Incarnation, Agent: a.life, Session: a.session,
-				First: first, Commands: commands, Received: a.in.Last(), Echo: a.echo,
+				First: first, Commands: commands, Received: a.in.Last(), Echo: a.echo, Waiting: waiting,
 			},
 		})
 	}
 }
+
+// waiting returns the processor that the waiting tasks need, by priority.
+func (d *Dispatcher) waiting() []int64 {
+	sums := make([]int64, message.Priorities)
+	for _, t := range d.unplaced {
+		sums[t.job.level()] += t.job.Steps[t.step].Need.MilliCPU
+	}
+	return sums
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -105,7 +105,6 @@
 	domainsOut map[zinniasill.Domain]bool
 	jobs       map[string]*job
 	requests   map[RequestID]*job
-	entries    int
 	// unplaced are the tasks that wait for an agent.
 	unplaced []*task
 	replies  []Reply
@@ -142,11 +141,6 @@
 	}
 }
 
-// SetEntries tells the dispatcher how many entries share the agents.
-func (d *Dispatcher) SetEntries(count int) {
-	d.entries = count
-}
-
 // SetDomainsOut replaces the failure domains that are out of service.
 func (d *Dispatcher) SetDomainsOut(domains map[zinniasill.Domain]bool) {
 	d.domainsOut = domains
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/message"
 )
 
 // job is a job in progress.
@@ -110,3 +111,8 @@
 	}
 	return false
 }
+
+// level returns the job's priority as far as reports tell priorities apart.
+func (j *job) level() int {
+	return min(max(j.Priority, 0), message.Priorities-1)
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -68,8 +68,7 @@
 )
 
 // admit returns the expected wait of a job's last task, and the reason to refuse the
-// job if it cannot meet its objective. The entry's own backlog of work that is not less
-// urgent counts once for each entry, since others have about the same.
+// job if it cannot meet its objective.
 func (d *Dispatcher) admit(now time.Time, j *job, loads []*load) (time.Duration, zinniasill.Reason) {
 	if len(loads) == 0 && now.Sub(d.learned) < firstReports {
 		return 0, ""
@@ -77,13 +76,7 @@
 	if len(loads) == 0 {
 		return 0, zinniasill.ReasonNoEndpoint
 	}
-	backlog := int64(0)
-	for _, t := range d.unplaced {
-		if t.job.Priority <= j.Priority && !t.late(now) {
-			backlog += t.job.Steps[t.step].Need.MilliCPU
-		}
-	}
-	backlog *= int64(max(d.entries, 1))
+	backlog := d.backlog(now, j, loads)
 	wait := time.Duration(0)
 	if backlog > 0 {
 		wait = freeingTime(backlog, loads)
@@ -110,6 +103,29 @@
 	return wait, ""
 }
 
+// backlog returns the processor that the tasks need which come before a job's, here and
+// at the other entries, in thousandths of a core.
+func (d *Dispatcher) backlog(now time.Time, j *job, loads []*load) int64 {
+	sum := int64(0)
+	for _, t := range d.unplaced {
+		if t.job.begun || t.job.Priority <= j.Priority && !t.late(now) {
+			sum += t.job.Steps[t.step].Need.MilliCPU
+		}
+	}
+	newest := loads[0].agent
+	for _, l := range loads {
+		if l.agent.heard.After(newest.heard) {
+			newest = l.agent
+		}
+	}
+	if waiting := newest.room.Waiting; len(waiting) == message.Priorities {
+		for _, milliCPU := range waiting[:j.level()+1] {
+			sum += milliCPU
+		}
+	}
+	return sum
+}
+
 // freeingTime returns how long all endpoints together take to give back an amount of
 // processor.
 func freeingTime(milliCPU int64, loads []*load) time.Duration {
@@ -236,7 +252,7 @@
 // given back what it and the tasks before it need.
 func (l *load) wait(t *task) time.Duration {
 	need := t.job.Steps[t.step].Need.MilliCPU
-	level := min(max(t.job.Priority, 0), message.Priorities-1)
+	level := t.job.level()
 	before := int64(0)
 	for _, queued := range l.queued[:level+1] {
 		before += queued
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -23,6 +23,7 @@
 	sent    time.Time
 	version uint64 // of the room in the last report
 	expired bool
+	waiting []int64 // as in message.Assign
 }
 
 // newsEvery is the least time between two reports to an entry that only tell of changed
@@ -45,6 +46,7 @@
 	}
 	sess.heard = now
 	sess.reply = true
+	sess.waiting = assign.Waiting
 	if assign.Agent == s.cfg.Self.Incarnation {
 		s.take(now, sess, assign)
 	}
@@ -181,12 +183,30 @@
 			Body: message.Progress{
 				Agent: s.cfg.Self.Incarnation, Entry: sess.life, Session: sess.number,
 				First: first, Updates: updates, Received: sess.in.Last(),
-				SentAt: now.Sub(s.began), Room: s.room(now),
+				SentAt: now.Sub(s.began), Room: s.roomFor(now, sess),
 			},
 		})
 	}
 }
 
+// roomFor returns the report on the endpoint for one entry, with what waits at the
+// others.
+func (s *Supervisor) roomFor(now time.Time, sess *session) message.Room {
+	room := s.room(now)
+	for _, other := range s.sessions {
+		if other == sess || len(other.waiting) != message.Priorities || now.Sub(other.heard) > EntryLease {
+			continue
+		}
+		if room.Waiting == nil {
+			room.Waiting = make([]int64, message.Priorities)
+		}
+		for level, milliCPU := range other.waiting {
+			room.Waiting[level] += milliCPU
+		}
+	}
+	return room
+}
+
 func (s *Supervisor) sortedSessions() []zinniasill.NodeID {
 	ids := make([]zinniasill.NodeID, 0, len(s.sessions))
 	for id := range s.sessions {
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -27,6 +27,9 @@
 	Received uint64    `cbor:"6,keyasint,omitempty"`
 	// Echo is the SentAt of the newest Progress that the entry has received.
 	Echo time.Duration `cbor:"7,keyasint,omitempty"`
+	// Waiting is the processor that tasks need which wait at the entry, by priority, in
+	// thousandths of a core.
+	Waiting []int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Command is one command of an entry. One of the fields is set.
@@ -122,4 +125,6 @@
 	// Freeing is the processor that running tasks are expected to give back in a
 	// second, in thousandths of a core.
 	Freeing int64 `cbor:"10,keyasint,omitempty"`
+	// Waiting is the sum of what the other entries have said to be waiting, by priority.
+	Waiting []int64 `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/directmodel/world.go
+++ b/internal/directmodel/world.go
@@ -182,7 +182,6 @@
 		agents = append(agents, dispatch.AgentEntry{ID: a.id, Domain: domain(i)})
 	}
 	e.SetAgents(w.Now, agents)
-	e.SetEntries(w.cfg.Entries)
 }
 
 // KillEntry and KillAgent end a process. Connections to it are gone at once.
--- a/io/node/dispatcher.go
+++ b/io/node/dispatcher.go
@@ -186,17 +186,12 @@
 // follow takes over a newer catalog.
 func (d *Dispatcher) follow(now time.Time, cat *catalog.Catalog) {
 	var agents []dispatch.AgentEntry
-	entries := 0
 	for _, node := range cat.Nodes {
-		if node.Role == catalog.RoleEntry {
-			entries++
-		}
 		if node.Role == catalog.RoleAgent {
 			agents = append(agents, dispatch.AgentEntry{ID: node.Node.ID, Domain: node.Domain})
 		}
 	}
 	d.jobs.SetAgents(now, agents)
-	d.jobs.SetEntries(entries)
 	out := map[zinniasill.Domain]bool{}
 	for name, domain := range cat.Domains {
 		out[name] = domain.State == catalog.DomainOut
