--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -22,6 +22,12 @@
 	// tasks have ended: that of this entry at the agent, the time to stop a run, and
 	// that of the endpoint, with an allowance of 2% for the rates of clocks.
 	LostAfter = executor.EntryLease + executor.HoldLease + 250*time.Millisecond
+	// callerPause is the shortest time after which a caller without a usable answer
+	// sends its job again.
+	callerPause = 1300 * time.Millisecond
+	// answerAfter is the silence of an agent after which a job may be answered as not
+	// known: when its caller sends it again, all leases have ended.
+	answerAfter = LostAfter - callerPause + 50*time.Millisecond
 )
 
 // agent is what the entry knows of one agent.
@@ -139,6 +145,16 @@
 	}
 }
 
+// answerHopeless answers the jobs with tasks at a silent agent whose outcome would come
+// too late to be of use.
+func (d *Dispatcher) answerHopeless(now time.Time, a *agent) {
+	for _, t := range a.sortedTasks() {
+		if !t.job.ended && now.Sub(t.job.arrived) > lateFactor*t.job.goal {
+			d.finish(now, t.job, Unknown, zinniasill.ReasonOutcomeUnknown)
+		}
+	}
+}
+
 func (a *agent) sortedTasks() []*task {
 	tasks := make([]*task, 0, len(a.tasks))
 	for t := range a.tasks {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -213,6 +213,9 @@
 		if a.life != 0 && len(a.tasks) > 0 && now.Sub(a.heard) > LostAfter {
 			d.loseAgent(now, a, "agent-silent")
 		}
+		if now.Sub(a.heard) > answerAfter {
+			d.answerHopeless(now, a)
+		}
 	}
 	d.placeAgain(now)
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -31,6 +31,7 @@
 	attempt  zinniasill.Attempt
 	failures int
 	returns  int
+	returned zinniasill.Reason // why it was returned last
 	done     bool
 	agent    *agent
 	// avoid is the agent that returned the task last.
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -78,6 +78,7 @@
 	t.avoid = t.agent
 	t.agent.release(t)
 	t.returns++
+	t.returned = reason
 	if t.returns > maxReturns {
 		d.giveUp(now, t.job, reason)
 		return
@@ -154,7 +155,7 @@
 	}
 	for _, t := range slices.Clone(d.unplaced) {
 		if hopeless[t.job] {
-			d.giveUp(now, t.job, zinniasill.ReasonOverload)
+			d.giveUp(now, t.job, t.waitReason())
 		}
 	}
 }
@@ -183,6 +184,14 @@
 	}
 }
 
+// waitReason says why the task waits.
+func (t *task) waitReason() zinniasill.Reason {
+	if t.returned != "" {
+		return t.returned
+	}
+	return zinniasill.ReasonOverload
+}
+
 // due returns when the task must start for its job to meet the objective.
 func (t *task) due() time.Time {
 	return t.job.arrived.Add(t.job.slack())
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -196,3 +196,20 @@
 	}
 	noViolations(t, w)
 }
+
+// TestSilentAgentAnswer guards against callers that wait for the end of all leases of an
+// agent that was cut off, when an answer is of no use any more by then.
+func TestSilentAgentAnswer(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 1, Agents: 1})
+	w.Settle()
+	w.Submit(0, directmodel.Job("a", 2, 60*time.Millisecond))
+	w.Run(5 * time.Millisecond)
+	cut(w, "agent-0", "entry-0", 5*time.Second, true)
+	w.Run(3 * time.Second)
+	// Three times the objective of 156 ms, and the silence that makes it safe: a caller
+	// sends again 1.3 s later, when all leases have ended.
+	if len(w.Answers) != 1 || w.Answers[0].Result != dispatch.Unknown || w.Answers[0].After > 800*time.Millisecond {
+		t.Errorf("answers %+v", w.Answers)
+	}
+	noViolations(t, w)
+}
