--- a/core/control/machine_test.go
+++ b/core/control/machine_test.go
@@ -237,3 +237,56 @@
 		New().Apply(1, data)
 	})
 }
+
+// TestDocument guards against a document that an older or a competing one replaces, that
+// a snapshot loses, or that a node's copy does not follow.
+func TestDocument(t *testing.T) {
+	a := &applier{t: t, machine: New()}
+	put := func(request string, version zinniasill.DocumentVersion, content string) Result {
+		t.Helper()
+		return a.apply(Command{
+			Request:  RequestID(request),
+			Document: &PutDocument{Version: version, Content: []byte(content)},
+		})
+	}
+	steps := []struct {
+		request string
+		version zinniasill.DocumentVersion
+		content string
+		want    string
+	}{
+		{"1", 4, "first", "first"},
+		{"2", 4, "competing", "first"},
+		{"3", 3, "older", "first"},
+		{"4", 9, "newer", "newer"},
+		{"1", 4, "first", "newer"},
+	}
+	for _, step := range steps {
+		if result := put(step.request, step.version, step.content); result.Code != "" {
+			t.Errorf("version %d was refused with %q", step.version, result.Code)
+		}
+		if got := a.machine.Catalog().Document; string(got.Content) != step.want {
+			t.Errorf("after version %d %q: document %q", step.version, step.content, got.Content)
+		}
+	}
+	if result := put("5", 0, "no version"); result.Code != CodeInvalid {
+		t.Errorf("version 0: %q", result.Code)
+	}
+	copied := catalog.New()
+	changes, ok := a.machine.ChangesSince(0)
+	if !ok {
+		t.Fatal("the changes are gone")
+	}
+	for _, change := range changes {
+		copied.Apply(change)
+	}
+	restored := New()
+	if err := restored.Restore(a.machine.Snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	for name, doc := range map[string]catalog.Document{"copy": copied.Document, "snapshot": restored.Catalog().Document} {
+		if doc.Version != 9 || string(doc.Content) != "newer" {
+			t.Errorf("%s: version %d %q", name, doc.Version, doc.Content)
+		}
+	}
+}
