Cancel jobs in progress, and build both roles from one configuration

Cause: DELETE of a job that is answered at its end was answered 410 while its tasks ran on; the configurations of the two roles were the same eight fields twice.

Change: an entry ends a job that is in progress there; DirectConfig holds what both roles need.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -191,6 +191,17 @@
 	d.end(j)
 }
 
+// Cancel ends a job for its caller, who gets the answer that it has failed. It returns
+// false if no such job is in progress here.
+func (d *Dispatcher) Cancel(now time.Time, id string) bool {
+	j := d.jobs[id]
+	if j == nil {
+		return false
+	}
+	d.finish(now, j, Failed, zinniasill.ReasonCancelled)
+	return true
+}
+
 // Waiting returns the number of a queue's jobs of which no task has started.
 func (d *Dispatcher) Waiting(queue string) int {
 	count := 0
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -86,6 +86,11 @@
 	}
 }
 
+// Running returns the number of runs in progress.
+func (e *Endpoint) Running() int {
+	return len(e.running)
+}
+
 // step ends the runs that are due.
 func (e *Endpoint) step() {
 	lapsed := e.world.Now.After(e.deadline)
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -213,3 +213,36 @@
 	}
 	noViolations(t, w)
 }
+
+// TestCancel guards against tasks that run or start after their job was cancelled or its
+// caller has left.
+func TestCancel(t *testing.T) {
+	for name, end := range map[string]func(w *directmodel.World, request dispatch.RequestID){
+		"cancelled": func(w *directmodel.World, _ dispatch.RequestID) { w.Entries[0].Cancel(w.Now, "a") },
+		"abandoned": func(w *directmodel.World, request dispatch.RequestID) { w.Entries[0].Abandon(w.Now, request) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+			w.Settle()
+			request := w.Submit(0, directmodel.Job("a", 30, 400*time.Millisecond))
+			w.Run(50 * time.Millisecond)
+			end(w, request)
+			w.Run(100 * time.Millisecond)
+			starts := 0
+			for _, a := range w.Agents {
+				starts += a.Endpoint.Starts
+				if running := a.Endpoint.Running(); running > 0 {
+					t.Errorf("%d tasks run 100 ms later", running)
+				}
+			}
+			w.Run(2 * time.Second)
+			for _, a := range w.Agents {
+				starts -= a.Endpoint.Starts
+			}
+			if starts != 0 {
+				t.Errorf("%d tasks started later", -starts)
+			}
+			noViolations(t, w)
+		})
+	}
+}
--- a/io/node/adapter.go
+++ b/io/node/adapter.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"zinniasill"
 	"zinniasill/core/catalog"
 	"zinniasill/core/message"
 	"zinniasill/core/route"
+	"zinniasill/io/daemon"
 	"zinniasill/io/peer"
 )
 
@@ -53,49 +56,61 @@
 	return nil
 }
 
+// DirectConfig is what a Dispatcher and a Supervisor have in common: the roles of an
+// entry and of an agent for jobs that are answered at their end.
+type DirectConfig struct {
+	Keeper *Keeper
+	// Report is what the role reports to control.
+	Report     catalog.NodeEntry
+	Sender     daemon.Sender
+	Clock      zinniasill.Clock
+	Counters   zinniasill.Counters
+	Histograms zinniasill.Histograms
+	Log        logrus.FieldLogger
+	Recorder   zinniasill.Recorder
+}
+
 func (p *Process) buildDispatcher() error {
-	link := p.newLink()
-	report := p.report(p.cfg.Settings.Name, p.address())
-	report.Role = catalog.RoleEntry
-	report.State = catalog.Serving
-	keeper := p.newKeeper(report, link)
-	role := NewDispatcher(DispatcherConfig{
-		Keeper: keeper, Report: report, Sender: link, Clock: p.clock, Counters: p.metrics, Histograms: p.metrics, Log: p.log,
-		Recorder: p.cfg.Adapter.Recorder, Compile: p.cfg.Adapter.Compile,
-	})
-	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
-	p.join(report.Node.ID, role.Deliver)
-	p.watchLease(keeper, "")
+	cfg, link := p.directConfig(catalog.RoleEntry)
+	role := NewDispatcher(DispatcherConfig{DirectConfig: cfg, Compile: p.cfg.Adapter.Compile})
+	p.addDirect(cfg, role, role.Start)
 	if err := p.serveAdapter(func(a *Adapter) []Served { return a.Dispatcher(role) }); err != nil {
 		return err
 	}
-	return p.openDirect(link, keeper, role.Deliver)
+	return p.openDirect(link, cfg.Keeper, role.Deliver)
 }
 
 func (p *Process) buildSupervisor() error {
-	link := p.newLink()
-	report := p.report(p.cfg.Settings.Name, p.address())
-	report.Role = catalog.RoleAgent
-	report.State = catalog.Serving
-	keeper := p.newKeeper(report, link)
-	role := NewSupervisor(SupervisorConfig{
-		Keeper: keeper, Report: report, Sender: link, Clock: p.clock, Counters: p.metrics, Histograms: p.metrics, Log: p.log,
-		Recorder: p.cfg.Adapter.Recorder, Executor: p.cfg.Adapter.Executor,
-	})
-	p.addRole(role, func(ctx context.Context) <-chan error { return withoutFault(role.Start(ctx)) })
-	p.join(report.Node.ID, role.Deliver)
-	p.watchLease(keeper, "")
+	cfg, link := p.directConfig(catalog.RoleAgent)
+	role := NewSupervisor(SupervisorConfig{DirectConfig: cfg, Executor: p.cfg.Adapter.Executor})
+	p.addDirect(cfg, role, role.Start)
 	if err := p.serveAdapter(func(a *Adapter) []Served { return a.Supervisor(role) }); err != nil {
 		return err
 	}
-	return p.openDirect(link, keeper, role.Deliver)
+	return p.openDirect(link, cfg.Keeper, role.Deliver)
 }
 
-func (p *Process) newKeeper(report catalog.NodeEntry, link *peer.Loopback) *Keeper {
-	return NewKeeper(KeeperConfig{
+// directConfig returns the configuration of a role and its link, which is not open yet.
+func (p *Process) directConfig(kind catalog.Role) (DirectConfig, *peer.Loopback) {
+	link := p.newLink()
+	report := p.report(p.cfg.Settings.Name, p.address())
+	report.Role = kind
+	report.State = catalog.Serving
+	keeper := NewKeeper(KeeperConfig{
 		Entry: report, Replicas: shuffled(newRand(), p.memberNames()), Sender: link,
 		Clock: p.clock, Log: p.log,
 	})
+	return DirectConfig{
+		Keeper: keeper, Report: report, Sender: link, Clock: p.clock, Counters: p.metrics,
+		Histograms: p.metrics, Log: p.log, Recorder: p.cfg.Adapter.Recorder,
+	}, link
+}
+
+// addDirect has the process run a role.
+func (p *Process) addDirect(cfg DirectConfig, r role, start func(context.Context) <-chan struct{}) {
+	p.addRole(r, func(ctx context.Context) <-chan error { return withoutFault(start(ctx)) })
+	p.join(cfg.Report.Node.ID, r.Deliver)
+	p.watchLease(cfg.Keeper, "")
 }
 
 func (p *Process) openDirect(link *peer.Loopback, keeper *Keeper, deliver func(message.Envelope)) error {
--- a/io/node/dispatcher.go
+++ b/io/node/dispatcher.go
@@ -11,7 +11,6 @@
 	"zinniasill"
 	"zinniasill/core/catalog"
 	"zinniasill/core/dispatch"
-	"zinniasill/core/message"
 	"zinniasill/core/route"
 	"zinniasill/io/daemon"
 )
@@ -30,17 +29,9 @@
 
 // DispatcherConfig configures a Dispatcher.
 type DispatcherConfig struct {
-	Keeper *Keeper
-	// Report is what the entry reports to control.
-	Report   catalog.NodeEntry
-	Sender   daemon.Sender
-	Clock    zinniasill.Clock
-	Counters zinniasill.Counters
-	// Histograms get the time of each job, by its result.
-	Histograms zinniasill.Histograms
-	Log        logrus.FieldLogger
-	Recorder   zinniasill.Recorder
-	Compile    func(content []byte) (*route.Table, error)
+	DirectConfig
+	// Compile reads a document of the configuration.
+	Compile func(content []byte) (*route.Table, error)
 }
 
 // Dispatcher is the role of an entry for jobs that are answered at their end. Use
@@ -117,6 +108,13 @@
 	return dispatch.Reply{}, err
 }
 
+// Cancel ends a job that is in progress here. It returns false if there is none.
+func (d *Dispatcher) Cancel(ctx context.Context, id string) (bool, error) {
+	cancelled := false
+	err := d.loop.Do(ctx, func(now time.Time) { cancelled = d.jobs.Cancel(now, id) })
+	return cancelled, err
+}
+
 // Waiting returns the number of a queue's jobs that have not begun.
 func (d *Dispatcher) Waiting(ctx context.Context, queue string) (int, error) {
 	count := 0
@@ -216,8 +214,3 @@
 	d.cfg.Log.WithFields(logrus.Fields{"version": doc.Version, "revision": cat.Revision}).
 		Info("configuration in force")
 }
-
-// Deliver hands a message to the role.
-func (d *Dispatcher) Deliver(env message.Envelope) {
-	d.leased.Deliver(env)
-}
--- a/io/node/supervisor.go
+++ b/io/node/supervisor.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
 	"zinniasill"
@@ -15,16 +14,7 @@
 
 // SupervisorConfig configures a Supervisor.
 type SupervisorConfig struct {
-	Keeper *Keeper
-	// Report is what the agent reports to control.
-	Report   catalog.NodeEntry
-	Sender   daemon.Sender
-	Clock    zinniasill.Clock
-	Counters zinniasill.Counters
-	// Histograms get the time of each order to the endpoint, by its outcome.
-	Histograms zinniasill.Histograms
-	Log        logrus.FieldLogger
-	Recorder   zinniasill.Recorder
+	DirectConfig
 	// Executor is the endpoint beside the agent.
 	Executor zinniasill.Executor
 }
