--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -87,9 +87,6 @@
 	if progress.Agent != a.life {
 		d.newLife(now, a, progress)
 	}
-	if progress.SentAt < a.echo && progress.Session == a.session && progress.First <= a.in.Last() {
-		return
-	}
 	a.hear(now, progress)
 	if a.silent {
 		a.silent = false
@@ -106,6 +103,7 @@
 	d.placeAgain(now)
 }
 
+// hear takes the report, unless a newer one has overtaken it.
 func (a *agent) hear(now time.Time, progress message.Progress) {
 	if progress.SentAt < a.echo {
 		return
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -38,7 +38,6 @@
 	avoid *agent
 	// command is the number of the command that assigned the task.
 	command uint64
-	sent    time.Time
 }
 
 func newJob(now time.Time, request RequestID, spec Job) *job {
