Follow an endpoint's slow clock, and pause after holds that fail at once

The first run lapsed 3 to 5 ms after the second had started. Endpoints closed their connections while their tasks ran on; the agent took the tasks for ended 968 ms after the last renewal. The lease was longer: the agent kept the furthest reading of the endpoint's clock, which may be 2 % slow, so that after 17 s its deadlines were 340 ms too far ahead, up to the longest lease of 1 s. In the same log holds that failed within 0.3 ms were sent again at once, thousands in a second.

Change: the newest reading of the clock counts; everything counts as ended only after the longest lease that an endpoint grants (1.07 s, and 1.95 s without a report of the agent); failed holds are sent again after 10 to 50 ms.

Ruled out: a frozen agent; its log goes on.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -21,7 +21,7 @@
 	// LostAfter is the time without a report after which all leases for the agent's
 	// tasks have ended: that of this entry at the agent, the time to stop a run, and
 	// that of the endpoint, with an allowance of 2% for the rates of clocks.
-	LostAfter = executor.EntryLease + executor.HoldLease + 250*time.Millisecond
+	LostAfter = executor.EntryLease + executor.MaxLease + 250*time.Millisecond
 	// callerPause is the shortest time after which a caller without a usable answer
 	// sends its job again.
 	callerPause = 1300 * time.Millisecond
--- a/core/executor/hold.go
+++ b/core/executor/hold.go
@@ -114,9 +114,12 @@
 	s.hold.failed++
 	s.record("hold-failed", slog.String("outcome", string(outcome)), slog.Int("failed", s.hold.failed),
 		slog.Duration("after", now.Sub(issued)), slog.Int("running", len(s.active)))
-	if outcome != zinniasill.OrderNoAnswer {
-		s.hold.retryAt = now.Add(unreachableRetry)
+	pause := unreachableRetry
+	if outcome == zinniasill.OrderNoAnswer {
+		// The first holds that fail are sent again sooner: most are lost one at a time.
+		pause = min(time.Duration(s.hold.failed)*lookEvery, unreachableRetry)
 	}
+	s.hold.retryAt = now.Add(pause)
 	if now.Sub(s.lastRenewal()) > lapsedAfter {
 		s.loseAll(zinniasill.ReasonLeaseExpired)
 	}
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -32,6 +32,8 @@
 	EntryLease = 700 * time.Millisecond
 	// HoldLease is the lease of the endpoint for what runs there.
 	HoldLease = 900 * time.Millisecond
+	// MaxLease is the longest lease that an endpoint grants, whatever it is asked for.
+	MaxLease = time.Second
 	// startDeadline is the time after which a start must not be carried out.
 	startDeadline = 450 * time.Millisecond
 	// holdWait is how long a hold waits for an end. It is short, because a hold that is
@@ -53,7 +55,7 @@
 	unreachableRetry = 50 * time.Millisecond
 	// lapsedAfter is the time since the last renewal after which the lease of all
 	// runs has ended, with an allowance of 2% for the rate of the endpoint's clock.
-	lapsedAfter = HoldLease*102/100 + 50*time.Millisecond
+	lapsedAfter = MaxLease*102/100 + 50*time.Millisecond
 	// runMemory is how long the number of a run is remembered after its end.
 	runMemory = 30 * time.Second
 	// maxOldRuns bounds the attempts to find a run number that is not taken.
@@ -259,10 +261,11 @@
 	}
 }
 
-// syncClock notes the endpoint's clock. A reading that arrives late makes the clock
-// look slow, so the furthest reading is kept.
+// syncClock notes the endpoint's clock. The newest reading counts, although one that
+// arrives late makes the clock look slow: the clock may be slow indeed, and leases must
+// not last longer than believed.
 func (s *Supervisor) syncClock(now time.Time, clock time.Duration) {
-	if clock == 0 || clock < s.endpointClock(now) {
+	if clock == 0 {
 		return
 	}
 	s.clock = clock
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -15,6 +15,8 @@
 	// after Late, or never if Late is 0.
 	Unanswered func(call executor.Call) bool
 	Late       time.Duration
+	// Closes has unanswered orders fail at once instead of after their timeout.
+	Closes bool
 	// Slow multiplies run times, 0 stands for 1.
 	Slow float64
 	// Hang keeps tasks from ending, Fail has them end as failed.
@@ -33,11 +35,13 @@
 	Capacity resource.Amount
 	Faults   Faults
 	Draining bool
+	// ClockRate is the rate of the endpoint's clock, 1 if 0.
+	ClockRate float64
 
 	world    *World
 	born     time.Time
 	sequence uint64
-	deadline time.Time
+	deadline time.Duration // of the lease, on the endpoint's clock
 	fence    uint64
 	running  map[zinniasill.TaskID]*run
 	highest  map[zinniasill.TaskID]zinniasill.Attempt
@@ -56,7 +60,11 @@
 }
 
 func (e *Endpoint) clock() time.Duration {
-	return e.world.Now.Sub(e.born)
+	elapsed := e.world.Now.Sub(e.born)
+	if e.ClockRate == 0 {
+		return elapsed
+	}
+	return time.Duration(float64(elapsed) * e.ClockRate)
 }
 
 // Restart ends everything and begins a new life under the same id.
@@ -68,7 +76,7 @@
 func (e *Endpoint) begin() {
 	// The clock of an endpoint does not begin at 0.
 	e.born = e.world.Now.Add(-time.Minute)
-	e.deadline = e.world.Now
+	e.deadline = e.clock()
 	e.sequence = 0
 	e.fence = 0
 	e.running = map[zinniasill.TaskID]*run{}
@@ -93,7 +101,7 @@
 
 // step ends the runs that are due.
 func (e *Endpoint) step() {
-	lapsed := e.world.Now.After(e.deadline)
+	lapsed := e.clock() > e.deadline
 	for _, id := range e.ids() {
 		r := e.running[id]
 		switch {
@@ -196,10 +204,7 @@
 
 // extend never shortens the lease, and never beyond a second.
 func (e *Endpoint) extend(deadline time.Duration) {
-	until := e.born.Add(min(deadline, e.clock()+time.Second))
-	if until.After(e.deadline) {
-		e.deadline = until
-	}
+	e.deadline = max(e.deadline, min(deadline, e.clock()+time.Second))
 }
 
 // hold answers a hold as of now.
--- a/internal/directmodel/link.go
+++ b/internal/directmodel/link.go
@@ -36,7 +36,11 @@
 		if late := e.Faults.Late; late > 0 && call.Hold == nil {
 			w.After(late, func() { e.order(call) })
 		}
-		w.After(call.Timeout, func() { w.noAnswer(a, life, call) })
+		timeout := call.Timeout
+		if e.Faults.Closes {
+			timeout = callDelay
+		}
+		w.After(timeout, func() { w.noAnswer(a, life, call) })
 		return
 	}
 	w.After(callDelay, func() {
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -296,3 +296,46 @@
 		})
 	}
 }
+
+// TestSlowClock guards against a lease at an endpoint that lasts longer than its agent
+// believes, so that a task is placed again while it runs: the clock of an endpoint may be
+// slow by 2 %, and the difference adds up over a long life.
+func TestSlowClock(t *testing.T) {
+	for offset := range 12 {
+		w := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+		for _, a := range w.Agents {
+			a.Endpoint.ClockRate = 0.98
+		}
+		w.Settle()
+		load(w, 50*time.Millisecond, 10*time.Second)
+		w.Submit(0, directmodel.Job("long", 8, 3*time.Second))
+		w.Run(200*time.Millisecond + time.Duration(offset)*5*time.Millisecond)
+		w.Agents[0].Endpoint.Faults.Closes = true
+		w.Agents[0].Endpoint.Faults.Unanswered = func(executor.Call) bool { return true }
+		w.Run(8 * time.Second)
+		if len(w.Answers) == 0 || w.Answers[len(w.Answers)-1].Job != "long" {
+			t.Error("the job was not answered")
+		}
+		noViolations(t, w)
+	}
+}
+
+// TestClosedConnections guards against an agent that asks without a pause while its
+// endpoint closes each connection at once.
+func TestClosedConnections(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 1, Agents: 1})
+	w.Settle()
+	w.Submit(0, directmodel.Job("a", 2, 400*time.Millisecond))
+	w.Run(50 * time.Millisecond)
+	calls := 0
+	w.Agents[0].Endpoint.Faults.Closes = true
+	w.Agents[0].Endpoint.Faults.Unanswered = func(executor.Call) bool {
+		calls++
+		return true
+	}
+	w.Run(time.Second)
+	if calls > 60 {
+		t.Errorf("%d calls in a second", calls)
+	}
+	noViolations(t, w)
+}
