Keep a control replica running while its disk is full

Change: disk.Folder cuts off the unfinished frame and returns ErrFull; the call can be repeated. Control keeps the refused Ready, drops messages and sends none until the write succeeds, so that for the others it is a replica that is cut off and a leader is replaced by an election. Any other error is still final, and so is one that cannot be undone.

Ruled out: retrying after a failed sync, whose effect is unknown; answering reads meanwhile, which needs a write of the term after an election.

--- a/io/disk/disk_test.go
+++ b/io/disk/disk_test.go
@@ -290,8 +290,8 @@
 	again.Close()
 }
 
-// TestWriteError guards against a folder that goes on after a failed write, whose
-// effect on the disk is not known.
+// TestWriteError guards against a folder that goes on after a write that failed
+// and cannot be undone: its effect on the disk is not known.
 func TestWriteError(t *testing.T) {
 	folder, _, err := open(t, t.TempDir(), 0)
 	if err != nil {
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -29,8 +30,19 @@
 	ErrLocked = eris.New("data folder is in use by another process")
 	// ErrClosed is returned by Save after Close.
 	ErrClosed = eris.New("data folder is closed")
+	// ErrFull is returned by Save when the disk has no room. The folder is as if the
+	// call had not been made, or as if part of the Ready had been saved.
+	ErrFull = eris.New("disk is full")
 )
 
+// logFile is the file of the current segment.
+type logFile interface {
+	io.WriteSeeker
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+}
+
 // Config configures a Folder. Path is required.
 type Config struct {
 	Path string
@@ -52,13 +64,13 @@
 type Folder struct {
 	cfg     Config
 	lock    *os.File
-	segment *os.File
+	segment logFile
 	number  uint64
 	size    int64
 	log     logState
 	buffer  []byte
-	// err is the first error of a write. What is on disk is not known after it, so
-	// it is final.
+	// err is the first error of a write other than ErrFull. What is on disk is not
+	// known after it, so it is final.
 	err error
 }
 
--- a/io/disk/naive_test.go
+++ b/io/disk/naive_test.go
@@ -1,6 +1,7 @@
 package disk_test
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
 	"testing"
@@ -104,8 +105,23 @@
 	return ready
 }
 
+// saveWithoutRoom saves while the log cannot grow. Only a Ready whose writes need
+// no room there succeeds.
+func saveWithoutRoom(t *rapid.T, folder *disk.Folder, ready consensus.Ready) {
+	room := false
+	folder.LimitSegment(func() bool { return room })
+	err := folder.Save(ready)
+	room = true
+	if err != nil && !errors.Is(err, disk.ErrFull) {
+		t.Fatalf("without room: %v", err)
+	}
+	if err == nil && (ready.Hard != nil || ready.Snapshot == nil && len(ready.Entries) > 0) {
+		t.Fatal("saved without room")
+	}
+}
+
 // TestAgainstNaive guards against writes that are lost, resurrected or reordered
-// by segments, snapshots and reopening.
+// by segments, snapshots, reopening and writes that fail for want of room.
 func TestAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		path := t.TempDir()
@@ -116,6 +132,9 @@
 		}
 		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
 			ready := drawReady(rt, want)
+			for range rapid.IntRange(0, 2).Draw(rt, "full") {
+				saveWithoutRoom(rt, folder, ready)
+			}
 			if err := folder.Save(ready); err != nil {
 				rt.Fatal(err)
 			}
--- a/io/disk/save.go
+++ b/io/disk/save.go
@@ -1,15 +1,20 @@
 package disk
 
 import (
+	"errors"
+	"io"
 	"os"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 
 	"zinniasill/core/consensus"
 )
 
-// Save makes the writes of a Ready durable. An error is final: the folder must
-// be closed and opened again, because it is not known what is on disk.
+// Save makes the writes of a Ready durable. After ErrFull the caller repeats the
+// call with the same Ready, and saves nothing else before. Any other error is
+// final: the folder must be closed and opened again, because it is not known what
+// is on disk.
 func (f *Folder) Save(ready consensus.Ready) error {
 	if f.err != nil {
 		return f.err
@@ -17,10 +22,15 @@
 	if !ready.Writes() {
 		return nil
 	}
-	if err := f.save(ready); err != nil {
-		f.err = eris.Wrapf(err, "write to data folder %s", f.cfg.Path)
+	err := f.save(ready)
+	if err == nil {
+		return nil
+	}
+	err = eris.Wrapf(err, "write to data folder %s", f.cfg.Path)
+	if !errors.Is(err, ErrFull) {
+		f.err = err
 	}
-	return f.err
+	return err
 }
 
 func (f *Folder) save(ready consensus.Ready) error {
@@ -53,7 +63,7 @@
 	}
 	f.buffer = frame
 	if _, err := f.segment.Write(frame); err != nil {
-		return err
+		return f.undo(err)
 	}
 	if err := f.segment.Sync(); err != nil {
 		return err
@@ -65,6 +75,21 @@
 	return f.startSegment(f.number+1, record{Hard: &f.log.hard})
 }
 
+// undo cuts off what a failed write has left of a frame. It returns ErrFull if the
+// disk had no room for the frame and the segment is whole again.
+func (f *Folder) undo(failed error) error {
+	if !errors.Is(failed, syscall.ENOSPC) {
+		return failed
+	}
+	if err := f.segment.Truncate(f.size); err != nil {
+		return eris.Wrapf(failed, "cut off the unfinished frame: %v", err)
+	}
+	if _, err := f.segment.Seek(f.size, io.SeekStart); err != nil {
+		return eris.Wrapf(failed, "return to the end of the log: %v", err)
+	}
+	return eris.Wrapf(ErrFull, "%v", failed)
+}
+
 // saveSnapshot replaces the snapshot, then begins a segment with the entries
 // after it, then removes the segments before.
 func (f *Folder) saveSnapshot(snapshot consensus.Snapshot, entries []consensus.Entry) error {
@@ -133,11 +158,11 @@
 	temp := f.file(name + tempSuffix)
 	file, err := os.OpenFile(temp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return err
+		return fullError(err)
 	}
 	if _, err := file.Write(data); err != nil {
 		_ = file.Close() // the write error is reported
-		return err
+		return fullError(err)
 	}
 	if err := file.Sync(); err != nil {
 		_ = file.Close() // the sync error is reported
@@ -152,6 +177,15 @@
 	return syncFolder(f.cfg.Path)
 }
 
+// fullError turns the error of a write to a file that is not in use yet into
+// ErrFull if the disk has no room.
+func fullError(err error) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		return eris.Wrapf(ErrFull, "%v", err)
+	}
+	return err
+}
+
 // syncFolder makes the names in a folder durable.
 func syncFolder(path string) error {
 	folder, err := os.Open(path)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -47,11 +46,17 @@
 	Lease    time.Duration
 }
 
+// store makes the writes of a replica durable.
+type store interface {
+	Save(ready consensus.Ready) error
+	Close()
+}
+
 // Control is the role of a control replica. Use NewControl.
 type Control struct {
 	cfg     ControlConfig
 	self    zinniasill.Node
-	folder  *disk.Folder
+	folder  store
 	replica *consensus.Replica
 	machine *control.Machine
 	server  *control.Server
@@ -61,8 +66,11 @@
 
 	proposal  consensus.ProposalID
 	compacted consensus.Index
-	failed    chan error
-	fault     error
+	// unsaved is the Ready that a full disk has refused. While it is set, the
+	// replica is deaf and mute, like one that is cut off.
+	unsaved *consensus.Ready
+	failed  chan error
+	fault   error
 }
 
 // NewControl opens the data folder and returns a replica that has not started.
@@ -173,6 +181,9 @@
 
 // Receive implements daemon.Machine.
 func (c *Control) Receive(now time.Time, env message.Envelope) {
+	if c.unsaved != nil {
+		return
+	}
 	switch env.Body.(type) {
 	case message.Renew, control.Seen:
 		c.server.Receive(now, env)
@@ -183,13 +194,18 @@
 
 // Tick implements daemon.Machine.
 func (c *Control) Tick(now time.Time) {
-	c.replica.Tick(now)
+	if c.unsaved != nil {
+		c.saveAgain(now)
+	} else {
+		c.replica.Tick(now)
+	}
 	c.server.Tick(now)
 }
 
 // Outbox implements daemon.Machine.
 func (c *Control) Outbox() []message.Envelope {
-	if c.fault != nil {
+	if c.fault != nil || c.unsaved != nil {
+		c.server.Outbox()
 		return nil
 	}
 	return append(c.replica.Outbox(), c.server.Outbox()...)
@@ -197,7 +213,7 @@
 
 // process carries out everything that the replica and the server ask for.
 func (c *Control) process(now time.Time) {
-	for c.fault == nil {
+	for c.fault == nil && c.unsaved == nil {
 		worked := c.forward(now)
 		ready := c.replica.Ready()
 		if ready.Empty() && !worked {
@@ -228,12 +244,45 @@
 		for _, env := range c.replica.Outbox() {
 			c.cfg.Sender.Send(env)
 		}
-		if err := c.folder.Save(ready); err != nil {
-			c.fail(eris.Wrap(err, "write to the data folder"))
+		if !c.save(ready) {
 			return
 		}
-		c.replica.Persisted()
 	}
+	c.finish(now, ready)
+}
+
+// save makes the writes of a Ready durable and reports whether the replica may go
+// on. After a full disk saveAgain repeats the call.
+func (c *Control) save(ready consensus.Ready) bool {
+	err := c.folder.Save(ready)
+	if errors.Is(err, disk.ErrFull) {
+		if c.unsaved == nil {
+			c.cfg.Log.WithError(err).Warn("disk is full, the control replica is silent until it has room")
+		}
+		c.unsaved = &ready
+		return false
+	}
+	if err != nil {
+		c.fail(eris.Wrap(err, "write to the data folder"))
+		return false
+	}
+	c.replica.Persisted()
+	return true
+}
+
+// saveAgain repeats the write that a full disk has refused.
+func (c *Control) saveAgain(now time.Time) {
+	ready := *c.unsaved
+	if c.fault != nil || !c.save(ready) {
+		return
+	}
+	c.unsaved = nil
+	c.cfg.Log.Info("disk has room again, the control replica goes on")
+	c.finish(now, ready)
+}
+
+// finish carries out what may follow the writes of a Ready.
+func (c *Control) finish(now time.Time, ready consensus.Ready) {
 	if ready.Status != nil {
 		c.follow(now, *ready.Status)
 	}
@@ -301,97 +350,10 @@
 
 func (c *Control) compact() {
 	applied := consensus.Index(c.machine.Applied())
-	if c.fault != nil || applied < c.compacted+compactEvery {
+	if c.fault != nil || c.unsaved != nil || applied < c.compacted+compactEvery {
 		return
 	}
 	if c.replica.Compact(applied, c.machine.Snapshot()) {
 		c.compacted = applied
 	}
 }
-
-// Ready returns an error while the replica knows no leader.
-func (c *Control) Ready() error {
-	status := c.Status()
-	if status.Leader.ID == "" {
-		return eris.Errorf("no leader is known (%s)", status.Phase)
-	}
-	return nil
-}
-
-// Stop hands the leadership to another replica, if this one leads.
-func (c *Control) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	err := c.loop.Do(ctx, c.transfer)
-	if err != nil {
-		return err
-	}
-	err = waitFor(ctx, c.cfg.Clock, c.loop, func() bool {
-		status := c.replica.Status()
-		return status.Role != consensus.Leader || len(status.Membership.Voters) < 2
-	})
-	if errors.Is(err, context.DeadlineExceeded) {
-		// The others elect a leader by themselves.
-		return nil
-	}
-	return err
-}
-
-func (c *Control) transfer(now time.Time) {
-	for _, voter := range c.replica.Status().Membership.Voters {
-		if voter.Name != c.cfg.Name && c.replica.Transfer(now, voter.Name) {
-			return
-		}
-	}
-}
-
-// Members implements operator.Membership.
-func (c *Control) Members(ctx context.Context) ([]operator.Member, error) {
-	// The read makes sure that the membership is not older than the call.
-	if _, err := (operator.Replica{Loop: c.loop, Server: c.server}).Catalog(ctx); err != nil {
-		return nil, err
-	}
-	status := c.Status()
-	var members []operator.Member
-	add := func(list []consensus.Member, voter bool) {
-		for _, m := range list {
-			members = append(members, operator.Member{
-				Name: string(m.Name), Instance: strconv.FormatUint(uint64(m.Instance), 16),
-				Address: m.Address, Voter: voter, Leader: m.Node() == status.Leader,
-			})
-		}
-	}
-	add(status.Membership.Voters, true)
-	add(status.Membership.Learners, false)
-	return members, nil
-}
-
-// ChangeMember implements operator.Membership. Only the leader can carry it out.
-func (c *Control) ChangeMember(ctx context.Context, change operator.MemberChange) error {
-	var result error
-	name := zinniasill.NodeID(change.Name)
-	err := c.loop.Do(ctx, func(now time.Time) {
-		if change.Action == operator.ActionRemove {
-			result = c.replica.Remove(now, name)
-			return
-		}
-		result = c.replica.Admit(now, consensus.Member{Name: name, Address: change.Address})
-	})
-	if err != nil {
-		return err
-	}
-	return memberError(result)
-}
-
-// memberError maps errors of the log to answers. A change that is already in
-// force is no error, because it may be sent again after a lost answer.
-func memberError(err error) error {
-	switch {
-	case err == nil, errors.Is(err, consensus.ErrKnownMember), errors.Is(err, consensus.ErrUnknownMember):
-		return nil
-	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrChangePending):
-		return &operator.Error{Status: http.StatusServiceUnavailable, Code: operator.CodeUnavailable, Message: err.Error()}
-	default:
-		return &operator.Error{Status: http.StatusConflict, Code: operator.CodeConflict, Message: err.Error()}
-	}
-}
