Order the lives of agents and entries by what they have answered

Cause: a report of an agent's life that an entry had never heard counted as a restart, however old it was. A report held up by a partition made the entry give up the tasks of the present life and place them again while they ran. The same held for a message of a life of an entry that the agent had not heard.

Change: Assign carries when it was sent, Progress the newest such time that the agent has received. An entry takes over another life only when it answers something newer than all answers before. An agent keeps a session for each life of an entry; one whose lease is extended past that of another life of the same entry supersedes it. The list of an agent's former lives and the map of ended lives of entries are gone.

Ruled out: ordering incarnations by number, which are random; by the clocks of the machines, which jump.

Test: directmodel.TestMessageOfFormerLife, cases "unheard agent" and "unheard entry", failed on the former code (no answer within 1 s).

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -30,26 +30,24 @@
 	answerAfter = LostAfter - callerPause + 50*time.Millisecond
 )
 
-// maxFormer bounds the former lives of an agent whose late reports are recognised.
-const maxFormer = 16
-
 // agent is what the entry knows of one agent.
 type agent struct {
 	id      zinniasill.NodeID
 	domain  zinniasill.Domain
 	life    zinniasill.Incarnation
-	former  []zinniasill.Incarnation // the last lives before, oldest first
 	session uint64
 	in      stream.Receiver
 	out     stream.Sender[message.Command]
 	// heard is when the last report arrived and echo the time stamp in it.
-	heard  time.Time
-	echo   time.Duration
-	sent   time.Time
-	room   message.Room
-	tasks  map[*task]struct{}
-	taken  uint64 // the last command that the agent has handled
-	silent bool
+	heard time.Time
+	echo  time.Duration
+	// answered is when the newest message that the agent has answered was sent.
+	answered time.Duration
+	sent     time.Time
+	room     message.Room
+	tasks    map[*task]struct{}
+	taken    uint64 // the last command that the agent has handled
+	silent   bool
 }
 
 func newAgent(entry AgentEntry, now time.Time) *agent {
@@ -88,10 +86,11 @@
 	if a == nil {
 		return
 	}
-	if slices.Contains(a.former, progress.Agent) {
-		return
-	}
 	if progress.Agent != a.life {
+		if a.life != 0 && progress.Echo <= a.answered {
+			// A late report of a former life answers what was sent before.
+			return
+		}
 		d.newLife(now, a, progress)
 	}
 	a.hear(now, progress)
@@ -112,6 +111,7 @@
 
 // hear takes the report, unless a newer one has overtaken it.
 func (a *agent) hear(now time.Time, progress message.Progress) {
+	a.answered = max(a.answered, progress.Echo)
 	if progress.SentAt < a.echo {
 		return
 	}
@@ -125,10 +125,6 @@
 func (d *Dispatcher) newLife(now time.Time, a *agent, progress message.Progress) {
 	if a.life != 0 {
 		d.loseAgent(now, a, "agent-restarted")
-		a.former = append(a.former, a.life)
-		if len(a.former) > maxFormer {
-			a.former = a.former[1:]
-		}
 	}
 	a.life = progress.Agent
 	a.echo = 0
@@ -198,6 +194,7 @@
 			Body: message.Assign{
 				Entry: d.cfg.Self.Incarnation, Agent: a.life, Session: a.session,
 				First: first, Commands: commands, Received: a.in.Last(), Echo: a.echo, Waiting: waiting,
+				SentAt: now.Sub(d.learned),
 			},
 		})
 	}
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,7 +24,11 @@
 	sent    time.Time
 	version uint64 // of the room in the last report
 	expired bool
-	waiting []int64 // as in message.Assign
+	// superseded is set once another life of the entry has followed.
+	superseded bool
+	// newest is the SentAt of the newest message, waiting as in message.Assign.
+	newest  time.Duration
+	waiting []int64
 }
 
 // newsEvery is the least time between two reports to an entry that only tell of changed
@@ -46,6 +51,7 @@
 	}
 	sess.heard = now
 	sess.reply = true
+	sess.newest = max(sess.newest, assign.SentAt)
 	sess.waiting = assign.Waiting
 	if assign.Agent == s.cfg.Self.Incarnation {
 		s.take(now, sess, assign)
@@ -56,32 +62,39 @@
 // session returns the session of a message, or nil if the message is of an earlier
 // session than the current one, or of a former life of the entry.
 func (s *Supervisor) session(now time.Time, from zinniasill.NodeID, assign message.Assign) *session {
-	if _, ended := s.ended[assign.Entry]; ended {
+	sess := s.sessions[assign.Entry]
+	if sess != nil && sess.superseded || sess != nil && assign.Session < sess.number {
 		return nil
 	}
-	sess := s.sessions[from]
-	if sess != nil && sess.life == assign.Entry {
-		if assign.Session < sess.number {
-			return nil
-		}
-		if assign.Session == sess.number {
-			return sess
-		}
+	if sess != nil && assign.Session == sess.number {
+		return sess
 	}
 	if sess != nil {
 		s.record("session-replaced", slog.String("entry", string(from)), slog.Uint64("session", assign.Session))
 		s.endSession(sess, zinniasill.ReasonSuperseded)
-		if sess.life != assign.Entry {
-			s.ended[sess.life] = now
-		}
 	}
 	sess = &session{
 		entry: zinniasill.Node{ID: from}, life: assign.Entry, number: assign.Session, alive: now,
 	}
-	s.sessions[from] = sess
+	s.sessions[assign.Entry] = sess
 	return sess
 }
 
+// supersede ends the sessions of an entry's former lives, which are those with a
+// lease that ends before that of sess. A late message cannot extend a lease.
+func (s *Supervisor) supersede(sess *session) {
+	for _, life := range s.sortedSessions() {
+		other := s.sessions[life]
+		if other.entry.ID != sess.entry.ID || other.superseded || !other.alive.Before(sess.alive) {
+			continue
+		}
+		s.record("session-replaced", slog.String("entry", string(sess.entry.ID)),
+			slog.Uint64("life", uint64(sess.life)))
+		s.endSession(other, zinniasill.ReasonSuperseded)
+		other.superseded = true
+	}
+}
+
 // take handles the content of a message that is addressed to this life of the agent.
 // Commands are taken only while the entry's lease holds, so that a message which a
 // partition has delayed starts nothing.
@@ -91,6 +104,7 @@
 		alive := s.began.Add(assign.Echo + EntryLease)
 		if alive.After(sess.alive) {
 			sess.alive = alive
+			s.supersede(sess)
 		}
 	}
 	if !now.Before(sess.alive) {
@@ -136,17 +150,18 @@
 
 // expireSessions ends the tasks of entries whose lease has ended.
 func (s *Supervisor) expireSessions(now time.Time) {
-	for id, sess := range s.sessions {
+	for _, life := range s.sortedSessions() {
+		sess := s.sessions[life]
 		if now.Sub(sess.heard) > sessionMemory {
-			delete(s.sessions, id)
+			delete(s.sessions, life)
 			continue
 		}
-		if sess.expired || now.Before(sess.alive) {
+		if sess.expired || sess.superseded || now.Before(sess.alive) {
 			continue
 		}
 		sess.expired = true
 		if s.owns(sess) {
-			s.record("entry-lease-ended", slog.String("entry", string(id)),
+			s.record("entry-lease-ended", slog.String("entry", string(sess.entry.ID)),
 				slog.Duration("silent", now.Sub(sess.heard)))
 			s.endSession(sess, zinniasill.ReasonLeaseExpired)
 		}
@@ -173,8 +188,11 @@
 	if !s.speaking {
 		return
 	}
-	for _, id := range s.sortedSessions() {
-		sess := s.sessions[id]
+	for _, life := range s.sortedSessions() {
+		sess := s.sessions[life]
+		if sess.superseded {
+			continue
+		}
 		news := sess.version != s.roomVersion && now.Sub(sess.sent) >= newsEvery && now.Before(sess.alive)
 		if !sess.reply && !sess.out.Due(now) && !news {
 			continue
@@ -189,7 +207,7 @@
 			Body: message.Progress{
 				Agent: s.cfg.Self.Incarnation, Entry: sess.life, Session: sess.number,
 				First: first, Updates: updates, Received: sess.in.Last(),
-				SentAt: now.Sub(s.began), Room: s.roomFor(now, sess),
+				SentAt: now.Sub(s.began), Room: s.roomFor(now, sess), Echo: sess.newest,
 			},
 		})
 	}
@@ -200,7 +218,7 @@
 func (s *Supervisor) roomFor(now time.Time, sess *session) message.Room {
 	room := s.room(now)
 	for _, other := range s.sessions {
-		if other == sess || len(other.waiting) != message.Priorities || now.Sub(other.heard) > EntryLease {
+		if other == sess || other.superseded || len(other.waiting) != message.Priorities || now.Sub(other.heard) > EntryLease {
 			continue
 		}
 		if room.Waiting == nil {
@@ -213,11 +231,6 @@
 	return room
 }
 
-func (s *Supervisor) sortedSessions() []zinniasill.NodeID {
-	ids := make([]zinniasill.NodeID, 0, len(s.sessions))
-	for id := range s.sessions {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+func (s *Supervisor) sortedSessions() []zinniasill.Incarnation {
+	return slices.Sorted(maps.Keys(s.sessions))
 }
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -101,12 +101,10 @@
 	domainOut bool
 	stopping  bool
 
-	sessions map[zinniasill.NodeID]*session
-	// ended are the lives of entries that another life has followed.
-	ended  map[zinniasill.Incarnation]time.Time
-	queue  []*task
-	active map[zinniasill.TaskID]*task
-	used   resource.Amount
+	sessions map[zinniasill.Incarnation]*session // by the life of the entry
+	queue    []*task
+	active   map[zinniasill.TaskID]*task
+	used     resource.Amount
 	// roomVersion rises with each change of the room in use.
 	roomVersion uint64
 	blocked     time.Time // no start before
@@ -133,8 +131,7 @@
 func New(cfg Config) *Supervisor {
 	return &Supervisor{
 		cfg:      cfg,
-		sessions: map[zinniasill.NodeID]*session{},
-		ended:    map[zinniasill.Incarnation]time.Time{},
+		sessions: map[zinniasill.Incarnation]*session{},
 		active:   map[zinniasill.TaskID]*task{},
 		runs:     map[zinniasill.TaskID]lastRun{},
 		strays:   map[zinniasill.TaskID]time.Time{},
@@ -221,7 +218,7 @@
 // Idle reports whether nothing runs and every entry that is heard from knows the ends.
 func (s *Supervisor) Idle() bool {
 	for _, sess := range s.sessions {
-		if sess.out.Pending() > 0 {
+		if !sess.superseded && sess.out.Pending() > 0 {
 			return false
 		}
 	}
@@ -291,11 +288,6 @@
 			delete(s.runs, id)
 		}
 	}
-	for life, at := range s.ended {
-		if now.Sub(at) > sessionMemory {
-			delete(s.ended, life)
-		}
-	}
 	for id, at := range s.strays {
 		if now.Sub(at) > runMemory {
 			delete(s.strays, id)
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -30,6 +30,8 @@
 	// Waiting is the processor that tasks need which wait at the entry, by priority, in
 	// thousandths of a core.
 	Waiting []int64 `cbor:"8,keyasint,omitempty"`
+	// SentAt is the time since the entry learned of its first agents, on its own clock.
+	SentAt time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Command is one command of an entry. One of the fields is set.
@@ -74,6 +76,9 @@
 	// SentAt is the time since the agent's start, on its own clock.
 	SentAt time.Duration `cbor:"7,keyasint"`
 	Room   Room          `cbor:"8,keyasint"`
+	// Echo is the SentAt of the newest Assign of this life of the entry that the agent
+	// has received.
+	Echo time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // RunState is what an agent reports of one assigned task.
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -277,6 +277,23 @@
 				})
 			}
 		},
+		// The others have never heard these lives: they restarted as well.
+		"unheard agent": func(w *directmodel.World) func() {
+			return func() {
+				w.Entries[0].Receive(w.Now, message.Envelope{
+					Version: message.Version, From: zinniasill.Node{ID: "agent-0"},
+					Body: message.Progress{Agent: 77, Entry: w.Entries[0].Life(), Session: 1, SentAt: time.Hour},
+				})
+			}
+		},
+		"unheard entry": func(w *directmodel.World) func() {
+			return func() {
+				w.Agents[0].Receive(w.Now, message.Envelope{
+					Version: message.Version, From: zinniasill.Node{ID: "entry-0"},
+					Body: message.Assign{Entry: 77, Agent: 78, Session: 9, Echo: time.Hour},
+				})
+			}
+		},
 	}
 	for name, restart := range tests {
 		t.Run(name, func(t *testing.T) {
