--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -13,13 +13,10 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -158,29 +155,6 @@
 	return nil
 }
 
-// Ports are taken from below the range that systems use for outgoing
-// connections, so that a port stays free until its process listens.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-	portStep  = 131
-)
-
-var lastPort atomic.Uint32
-
-// freeAddress returns a loopback address with a port that is free at present.
-func freeAddress() string {
-	for {
-		port := firstPort + (uint32(os.Getpid())*portStep+lastPort.Add(1))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-}
-
 // DataFolder returns the data folder of the i-th control replica.
 func (c *Cluster) DataFolder(i int) string {
 	return filepath.Join(c.cfg.Folder, fmt.Sprintf("control-%d", i+1))
--- a/io/operator/resource.go
+++ b/io/operator/resource.go
@@ -45,22 +45,24 @@
 
 func putProfile(name string, body []byte) (control.Command, control.FindingErrors) {
 	profile := Profile{Name: zinniasill.ProfileName(name)}
-	edit, found := decodeEdit(body, profile.fields())
-	found = sameName(found, name, string(profile.Name))
+	edit, found := decodePut(name, body, &profile.Name, profile.fields())
 	return control.Command{
 		Request: edit.RequestID,
 		Profile: &control.PutProfile{Base: edit.BaseRevision, Profile: profile.catalog()},
 	}, found
 }
 
-// sameName reports a name in the body that differs from the one in the path.
-func sameName(found control.FindingErrors, path, body string) control.FindingErrors {
-	if path == body {
-		return found
+// decodePut decodes the body of a change of the object that the path names. The
+// body may repeat the name, which differs from that in the path by mistake only.
+func decodePut[Name ~string](path string, body []byte, name *Name, fields map[string]any) (Edit, control.FindingErrors) {
+	fields["name"] = name
+	edit, found := decodeEdit(body, fields)
+	if string(*name) == path {
+		return edit, found
 	}
-	return append(found, control.Finding{
+	return edit, append(found, control.Finding{
 		Field:   "name",
-		Problem: fmt.Sprintf("%.80q differs from %.80q in the path", body, path),
+		Problem: fmt.Sprintf("%.80q differs from %.80q in the path", *name, path),
 	})
 }
 
@@ -83,8 +85,7 @@
 
 func putDomain(name string, body []byte) (control.Command, control.FindingErrors) {
 	put := control.PutDomain{Name: zinniasill.Domain(name)}
-	edit, found := decodeEdit(body, map[string]any{"state": &put.State, "name": &put.Name})
-	found = sameName(found, name, string(put.Name))
+	edit, found := decodePut(name, body, &put.Name, map[string]any{"state": &put.State})
 	put.Base = edit.BaseRevision
 	return control.Command{Request: edit.RequestID, Domain: &put}, found
 }
@@ -100,8 +101,7 @@
 
 func putEndpoint(name string, body []byte) (control.Command, control.FindingErrors) {
 	put := control.PutEndpoint{Name: zinniasill.NodeID(name)}
-	edit, found := decodeEdit(body, map[string]any{"state": &put.State, "name": &put.Name})
-	found = sameName(found, name, string(put.Name))
+	edit, found := decodePut(name, body, &put.Name, map[string]any{"state": &put.State})
 	put.Base = edit.BaseRevision
 	return control.Command{Request: edit.RequestID, Endpoint: &put}, found
 }
@@ -114,8 +114,7 @@
 func putTeam(name string, body []byte) (control.Command, control.FindingErrors) {
 	put := control.PutTeam{Name: zinniasill.Team(name)}
 	var quota *int
-	edit, found := decodeEdit(body, map[string]any{"quota": &quota, "name": &put.Name})
-	found = sameName(found, name, string(put.Name))
+	edit, found := decodePut(name, body, &put.Name, map[string]any{"quota": &quota})
 	if quota != nil {
 		put.Quota = *quota
 	} else {
