Bound what an entry spends on news and plans

Each report of an agent, up to 200 a second from each, led to a plan over all agents and waiting tasks.

Change: an entry asks its agents for reports that only tell of changed room at a rate that does not grow with their number (2,000 a second in all; ends of tasks are still told at once to the entry that waits). Plans that reports lead to pause in proportion to the size of the last one.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -22,6 +22,10 @@
 	// tasks have ended: that of this entry at the agent, the time to stop a run, and
 	// that of the endpoint, with an allowance of 2% for the rates of clocks.
 	LostAfter = executor.EntryLease + executor.MaxLease + 250*time.Millisecond
+	// minNewsEvery is the least time between two reports of an agent that only tell of
+	// changed room, newsTime the mean time between such reports of all agents.
+	minNewsEvery = 5 * time.Millisecond
+	newsTime     = 500 * time.Microsecond
 	// callerPause is the shortest time after which a caller without a usable answer
 	// sends its job again.
 	callerPause = 1300 * time.Millisecond
@@ -106,7 +110,7 @@
 	for _, update := range stream.Accept(&a.in, progress.First, progress.Updates) {
 		d.update(now, a, update)
 	}
-	d.placeAgain(now)
+	d.changed = true
 }
 
 // hear takes the report, unless a newer one has overtaken it.
@@ -171,9 +175,19 @@
 	return tasks
 }
 
-// Flush sends each agent its commands, or a heartbeat when one is due. The loop calls
-// it after each step.
+// newsEvery returns how often an agent may tell of changed room only. It answers load on
+// many agents: what an entry hears of their room must not grow with their number. The end
+// of a task is told at once to the entry that waits for it, with the room that it leaves.
+func (d *Dispatcher) newsEvery() time.Duration {
+	return min(max(time.Duration(len(d.order))*newsTime, minNewsEvery), HeartbeatEvery)
+}
+
+// Flush places waiting tasks if there is news, and sends each agent its commands, or a
+// heartbeat when one is due. The loop calls it after each step.
 func (d *Dispatcher) Flush(now time.Time) {
+	if d.changed && !now.Before(d.planAfter) {
+		d.placeAgain(now)
+	}
 	var waiting []int64
 	for _, a := range d.order {
 		if !a.silent && a.life != 0 && now.Sub(a.heard) > SilentAfter {
@@ -194,7 +208,7 @@
 			Body: message.Assign{
 				Entry: d.cfg.Self.Incarnation, Agent: a.life, Session: a.session,
 				First: first, Commands: commands, Received: a.in.Last(), Echo: a.echo, Waiting: waiting,
-				SentAt: now.Sub(d.learned),
+				SentAt: now.Sub(d.learned), NewsEvery: d.newsEvery(),
 			},
 		})
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -107,8 +107,12 @@
 	requests   map[RequestID]*job
 	// unplaced are the tasks that wait for an agent.
 	unplaced []*task
-	replies  []Reply
-	outbox   []message.Envelope
+	// changed is set when a waiting task may have become able to be placed. There is no
+	// plan for that before planAfter.
+	changed   bool
+	planAfter time.Time
+	replies   []Reply
+	outbox    []message.Envelope
 }
 
 // New returns a dispatcher that knows no agent.
@@ -228,7 +232,7 @@
 			d.answerHopeless(now, a)
 		}
 	}
-	d.placeAgain(now)
+	d.changed = true
 }
 
 // finish answers a job and ends it.
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -14,6 +14,14 @@
 // maxReturns bounds how often one task is placed again.
 const maxReturns = 8
 
+// planPause is the pause after a plan, for each step of it. It answers an overload, in
+// which many agents report while many tasks wait: a plan for each report would take more
+// processor than an entry has. A step takes about 50 ns, a twentieth of the pause.
+const planPause = time.Microsecond
+
+// sortSteps is what sorting a waiting task counts as, in steps of a plan.
+const sortSteps = 8
+
 // update handles what an agent reports of one task.
 func (d *Dispatcher) update(now time.Time, a *agent, update message.TaskUpdate) {
 	t := a.find(update)
@@ -113,12 +121,14 @@
 // answers load near the capacity: a task that waits here goes to the first agent with
 // room, while one that is queued at an agent waits for that agent.
 func (d *Dispatcher) placeAgain(now time.Time) {
+	d.changed = false
 	if len(d.unplaced) == 0 {
 		return
 	}
 	d.dropHopeless(now)
 	slices.SortStableFunc(d.unplaced, func(a, b *task) int { return compareUrgency(now, a, b) })
 	loads := d.loads(now)
+	steps := len(d.order) + len(d.unplaced)*sortSteps
 	var places []place
 	kept := d.unplaced[:0]
 	full := false
@@ -126,6 +136,7 @@
 		var best *load
 		if !full {
 			best = choose(t, loads)
+			steps += len(loads)
 		}
 		if best == nil || best.wait(t) > aheadLimit {
 			// Tasks behind one that does not fit wait too, so that large tasks are not
@@ -138,6 +149,7 @@
 		places = append(places, place{task: t, agent: best.agent})
 	}
 	d.unplaced = kept
+	d.planAfter = now.Add(time.Duration(steps) * planPause)
 	d.assign(now, places)
 }
 
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -29,12 +29,10 @@
 	// newest is the SentAt of the newest message, waiting as in message.Assign.
 	newest  time.Duration
 	waiting []int64
+	// newsEvery is the least time between two reports that only tell of changed room.
+	newsEvery time.Duration
 }
 
-// newsEvery is the least time between two reports to an entry that only tell of changed
-// room.
-const newsEvery = 5 * time.Millisecond
-
 // sessionMemory is how long a silent entry is remembered.
 const sessionMemory = time.Minute
 
@@ -53,6 +51,7 @@
 	sess.reply = true
 	sess.newest = max(sess.newest, assign.SentAt)
 	sess.waiting = assign.Waiting
+	sess.newsEvery = assign.NewsEvery
 	if assign.Agent == s.cfg.Self.Incarnation {
 		s.take(now, sess, assign)
 	}
@@ -193,7 +192,7 @@
 		if sess.superseded {
 			continue
 		}
-		news := sess.version != s.roomVersion && now.Sub(sess.sent) >= newsEvery && now.Before(sess.alive)
+		news := sess.version != s.roomVersion && now.Sub(sess.sent) >= sess.newsEvery && now.Before(sess.alive)
 		if !sess.reply && !sess.out.Due(now) && !news {
 			continue
 		}
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -32,6 +32,9 @@
 	Waiting []int64 `cbor:"8,keyasint,omitempty"`
 	// SentAt is the time since the entry learned of its first agents, on its own clock.
 	SentAt time.Duration `cbor:"9,keyasint,omitempty"`
+	// NewsEvery is the least time between two messages that the entry wants to be told
+	// of changed room only.
+	NewsEvery time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Command is one command of an entry. One of the fields is set.
