Leave an endpoint alone that resets connections

Cause: a stop without an answer was sent again as soon as it had failed, up to 700 times a second for one endpoint; and an endpoint that announces itself but answers no orders got new tasks as soon as the leases of the last ones had ended.

Change: 20 ms between two stops of a run.

Test: directmodel.TestResettingEndpoint; before: 1,244 orders in 0.2 s and jobs answered after 465 ms.

--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -95,7 +95,7 @@
 	delete(s.waiting, id)
 	if pending.life == s.life {
 		s.orders.note(now.Sub(pending.issued))
-		s.noteContact(now, result)
+		s.noteAnswer(now, result)
 		if pending.call.Start != nil {
 			s.startAnswered(now, pending, result)
 		} else {
@@ -105,17 +105,35 @@
 	s.step(now)
 }
 
-// noteContact takes what any answer says about the endpoint.
-func (s *Supervisor) noteContact(now time.Time, result zinniasill.OrderResult) {
-	switch result.Outcome {
-	case zinniasill.OrderNoAnswer, zinniasill.OrderUnreachable, zinniasill.OrderOtherLife:
+// noteAnswer takes what any answer, or its absence, says about the endpoint. It answers
+// endpoints that announce themselves and answer no orders: they get no new work until one
+// is answered.
+func (s *Supervisor) noteAnswer(now time.Time, result zinniasill.OrderResult) {
+	if result.Outcome == zinniasill.OrderNoAnswer || result.Outcome == zinniasill.OrderUnreachable {
+		s.unanswered++
+		if s.unanswered == suspectFrom {
+			s.record("endpoint-suspect", slog.Int("unanswered", s.unanswered), slog.Int("running", len(s.active)))
+			s.roomVersion++
+			s.returnQueue(zinniasill.ReasonNoEndpoint)
+		}
 		return
-	default:
+	}
+	if s.suspect() {
+		s.record("endpoint-answers", slog.Int("unanswered", s.unanswered))
+		s.roomVersion++
+	}
+	s.unanswered = 0
+	if result.Outcome != zinniasill.OrderOtherLife {
 		s.contact = now
 		s.syncClock(now, result.Clock)
 	}
 }
 
+// suspect reports whether the endpoint has left too many orders in a row unanswered.
+func (s *Supervisor) suspect() bool {
+	return s.unanswered >= suspectFrom
+}
+
 func (s *Supervisor) startAnswered(now time.Time, pending pendingCall, result zinniasill.OrderResult) {
 	t := pending.task
 	if s.active[t.id] != t || t.state != stateStarting {
@@ -202,7 +220,7 @@
 	for _, t := range s.sortedActive() {
 		// A doubtful run is looked for first: it may just have begun.
 		due := t.state == stateStopping && !t.stopAcked || t.state == stateDoubtful && !t.stopSent.IsZero()
-		if due && !t.stopAsked {
+		if due && !t.stopAsked && now.Sub(t.stopSent) >= stopRetry {
 			s.sendStop(now, t)
 		}
 	}
--- a/core/executor/hold.go
+++ b/core/executor/hold.go
@@ -30,11 +30,11 @@
 		return
 	}
 	busy := len(s.active) > 0
-	if s.adopted && !busy && s.hold.acked == s.hold.cursor {
+	if s.adopted && !busy && !s.suspect() && s.hold.acked == s.hold.cursor {
 		return
 	}
 	wait := time.Duration(0)
-	if s.adopted && busy {
+	if s.adopted && busy && !s.suspect() {
 		wait = holdWait
 	}
 	s.hold.asked = true
@@ -56,7 +56,7 @@
 // answers orders without an answer: a task that waits for the next hold, or for a stop
 // of a run that never began, makes its job late.
 func (s *Supervisor) look(now time.Time) {
-	if !s.present || s.hold.looking || s.clock == 0 || now.Sub(s.hold.looked) < lookEvery || !s.awaitsList() {
+	if !s.present || s.suspect() || s.hold.looking || s.clock == 0 || now.Sub(s.hold.looked) < lookEvery || !s.awaitsList() {
 		return
 	}
 	s.hold.looking = true
@@ -89,7 +89,7 @@
 	} else {
 		s.hold.asked = false
 	}
-	s.noteContact(now, result.OrderResult)
+	s.noteAnswer(now, result.OrderResult)
 	switch result.Outcome {
 	case zinniasill.OrderAccepted:
 		if pending.issued.After(s.hold.renewed) {
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -49,6 +49,11 @@
 	roomRetry = 20 * time.Millisecond
 	// strayRetry is the time after which a run of unknown origin is stopped again.
 	strayRetry = 120 * time.Millisecond
+	// stopRetry is the pause between two stops of one run.
+	stopRetry = 20 * time.Millisecond
+	// suspectFrom is the number of orders in a row without an answer from which an
+	// endpoint gets no new work. Single answers get lost on sound machines.
+	suspectFrom = 4
 	// lookEvery is the least time between two looks at the lists for a run's fate.
 	lookEvery = 10 * time.Millisecond
 	// unreachableRetry is the pause after a connection to the endpoint was refused.
@@ -108,6 +113,7 @@
 	// roomVersion rises with each change of the room in use.
 	roomVersion uint64
 	blocked     time.Time // no start before
+	unanswered  int       // orders in a row without an answer
 	runs        map[zinniasill.TaskID]lastRun
 	strays      map[zinniasill.TaskID]time.Time
 	pruned      time.Time
@@ -173,6 +179,7 @@
 	s.clock = 0
 	s.hold = holding{}
 	s.adopted = false
+	s.unanswered = 0
 	s.fence = uint64(said.Clock / time.Millisecond)
 	s.speed = speed{}
 	clear(s.runs)
@@ -227,7 +234,7 @@
 
 // open reports whether new work may start.
 func (s *Supervisor) open(now time.Time) bool {
-	return s.present && s.adopted && !s.known.Draining && !s.domainOut && !s.stopping &&
+	return s.present && s.adopted && !s.suspect() && !s.known.Draining && !s.domainOut && !s.stopping &&
 		now.Sub(s.contact) < silentAfter
 }
 
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -136,3 +136,42 @@
 	}
 	watch()
 }
+
+// TestResettingEndpoint guards against an endpoint that announces itself and resets all
+// connections: it must not be flooded with orders, and must not get work that jobs then
+// wait for, until it answers again.
+func TestResettingEndpoint(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 2, Agents: 5})
+	w.Settle()
+	w.Submit(0, directmodel.Job("long", 10, 5*time.Second))
+	w.Run(10 * time.Millisecond)
+	runs := w.Agents[0].Endpoint.Starts
+	load(w, 12*time.Millisecond, time.Second)
+	calls := 0
+	faults := &w.Agents[0].Endpoint.Faults
+	faults.Closes = true
+	faults.Unanswered = func(executor.Call) bool { calls++; return true }
+	w.Entries[0].Cancel(w.Now, "long")
+	load(w, 12*time.Millisecond, 200*time.Millisecond)
+	// The runs of the cancelled job are stopped at once and every 20 ms until their lease
+	// ends; four orders make the endpoint suspect, and six holds look for an answer.
+	if limit := 11*runs + 4 + 6; calls > limit {
+		t.Errorf("%d orders in 0.2 s to an endpoint that resets connections, want at most %d", calls, limit)
+	}
+	w.Run(2 * time.Second)
+	w.Answers = nil
+	count := load(w, 12*time.Millisecond, 4*time.Second)
+	faults.Unanswered = nil
+	starts := w.Agents[0].Endpoint.Starts
+	count += load(w, 12*time.Millisecond, time.Second)
+	w.Run(time.Second)
+	// The objective of a job of 60 ms is 156 ms.
+	slowest, completed := percentile(w, 1)
+	if completed < count || slowest > 156*time.Millisecond {
+		t.Errorf("%d of %d jobs, the slowest within %v", completed, count, slowest)
+	}
+	if w.Agents[0].Endpoint.Starts == starts {
+		t.Error("no task started at the endpoint after it answered again")
+	}
+	noViolations(t, w)
+}
