Put the constants of a plan beside their only users

Cause: place.go held the constants that load.go and admit.go use, and a task kept the deadline of its start after it was sent.

Change: the constants stand where they are used; the deadline is a local value. No change in behaviour.

Ruled out: moving lateFactor and aheadLimit, which have several users.

Tests: lint and internal/directmodel, core/dispatch pass.

--- a/core/dispatch/admit.go
+++ b/core/dispatch/admit.go
@@ -18,6 +18,10 @@
 	return j.slack() * otherPatience / 100
 }
 
+// firstReports is the time after an entry has learned of its first agents in which it
+// takes jobs although none has reported yet.
+const firstReports = 200 * time.Millisecond
+
 // Parts of the slack that jobs may be expected to wait, in percent.
 const (
 	urgentPatience = 75
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -7,6 +7,33 @@
 	"zinniasill/core/message"
 )
 
+const (
+	// evenSpread is what a full endpoint counts as extra time against an empty one. It
+	// keeps tasks from being stacked on a few endpoints while entries do not yet know
+	// of each other's choices.
+	evenSpread = 20 * time.Millisecond
+	// soundSlowness is the multiple of the median slowness up to which endpoints count
+	// as equal: estimates of single tasks are rough, and waiting for a slightly faster
+	// endpoint makes jobs late.
+	soundSlowness = 1.5
+	// farPenalty is what a task at an agent of another failure domain counts as
+	// extra time: a message takes longer there and its bytes cost more.
+	farPenalty = 2 * time.Millisecond
+	// failingFrom is the share of failures, in thousandths, from which an endpoint
+	// counts as failing. Two failures in a row reach it; single ones, and tasks that
+	// fail everywhere, must not take an endpoint out.
+	failingFrom = 400
+	// failingPenalty is the extra time of a failing endpoint, so that it gets work only
+	// when all others are very busy.
+	failingPenalty = 2 * time.Second
+	// avoidPenalty keeps a returned task from going back where it came from.
+	avoidPenalty = 2 * time.Second
+	// remoteFactor is how much longer a task takes away from its data.
+	remoteFactor = 1.5
+	// busyWait is assumed for a full endpoint that reports nothing else.
+	busyWait = 100 * time.Millisecond
+)
+
 // load is the expected load of one agent while a plan is made.
 type load struct {
 	agent *agent
--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -69,13 +69,13 @@
 	t.step(eventOrder)
 	t.run = max(t.attempt, t.run, s.runs[t.id].run+1)
 	t.ordered = now
-	t.deadline = s.endpointClock(now) + startDeadline
 	s.active[t.id] = t
 	s.setUsed(s.used.Add(t.need))
 	s.noteRun(now, t.id, t.run)
 	s.issue(now, Call{
 		Start: &zinniasill.StartOrder{
-			Life: s.life, Task: t.id, Run: t.run, Spec: t.spec, Deadline: t.deadline, Fence: s.fence,
+			Life: s.life, Task: t.id, Run: t.run, Spec: t.spec, Fence: s.fence,
+			Deadline: s.endpointClock(now) + startDeadline,
 		},
 		Timeout: s.orders.timeout(),
 	}, t)
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -26,13 +26,12 @@
 	due      time.Time // a later start misses the job's objective
 	queued   time.Time
 
-	ordered  time.Time
-	doubted  time.Time     // when the start was given up without an answer
-	deadline time.Duration // of the start, on the endpoint's clock
-	started  time.Time
-	took     time.Duration // of a run that ended by itself
-	ran      bool
-	oldRuns  int
+	ordered time.Time
+	doubted time.Time // when the start was given up without an answer
+	started time.Time
+	took    time.Duration // of a run that ended by itself
+	ran     bool
+	oldRuns int
 	// reason says why the run is stopped. stopSent is when the last stop was sent,
 	// stopAsked is set while one is unanswered and stopAcked once one was carried out.
 	reason    zinniasill.Reason
