--- a/internal/localcluster/network.go
+++ b/internal/localcluster/network.go
@@ -1,7 +1,9 @@
 package localcluster
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,6 +30,7 @@
 	names   []string
 	blocked map[direction]bool
 	closers []func() error
+	links   map[*proxied]struct{}
 	closed  bool
 	failed  error
 }
@@ -75,12 +78,40 @@
 		}
 		n.keep(near.Close)
 		n.keep(far.Close)
-		link := &proxied{network: n, listener: name}
+		link := &proxied{network: n, listener: name, near: near, far: far}
+		n.add(link)
 		go link.copy(far, near, true)
 		go link.copy(near, far, false)
 	}
 }
 
+func (n *Network) add(link *proxied) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links == nil {
+		n.links = map[*proxied]struct{}{}
+	}
+	n.links[link] = struct{}{}
+}
+
+func (n *Network) remove(link *proxied) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.links, link)
+}
+
+// Reset resets the present connections of a process.
+func (n *Network) Reset(name string) {
+	n.mu.Lock()
+	links := slices.Collect(maps.Keys(n.links))
+	n.mu.Unlock()
+	for _, link := range links {
+		if from, to := link.ends(true); from == name || to == name {
+			link.reset()
+		}
+	}
+}
+
 // keep has a socket closed by Close.
 func (n *Network) keep(closer func() error) {
 	n.mu.Lock()
--- a/internal/localcluster/network_test.go
+++ b/internal/localcluster/network_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -140,3 +141,28 @@
 		t.Errorf("the answer took %v, less than the delay of %v", took, delay)
 	}
 }
+
+// TestNetworkReset guards against a reset that spares the connections of a process, or
+// ends those of others.
+func TestNetworkReset(t *testing.T) {
+	t.Parallel()
+	network := &localcluster.Network{}
+	defer network.Close()
+	address := network.Through("entry-1", echo(t))
+	network.Through("agent-1", echo(t))
+	network.Through("agent-10", echo(t))
+	reset, spared := dial(t, address, "agent-1"), dial(t, address, "agent-10")
+	for _, conn := range []net.Conn{reset, spared} {
+		if !answers(t, conn, []byte("x"), arrival) {
+			t.Fatal("no answer before the reset")
+		}
+	}
+	network.Reset("agent-1")
+	_ = reset.SetReadDeadline(time.Now().Add(arrival))
+	if _, err := reset.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection that was reset: %v", err)
+	}
+	if !answers(t, spared, []byte("x"), arrival) {
+		t.Error("another connection was ended")
+	}
+}
--- a/internal/localcluster/proxied.go
+++ b/internal/localcluster/proxied.go
@@ -26,6 +26,8 @@
 type proxied struct {
 	network  *Network
 	listener string
+	// near is the connection of the process that connected, far that to the listener.
+	near, far net.Conn
 
 	mu       sync.Mutex
 	greeting []byte
@@ -60,11 +62,22 @@
 	return p.listener, p.dialer
 }
 
+// reset closes both sides so that the processes see a reset, not an orderly end.
+func (p *proxied) reset() {
+	for _, side := range []net.Conn{p.near, p.far} {
+		if tcp, ok := side.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // without it the end is orderly, which is a fault too
+		}
+		_ = side.Close()
+	}
+}
+
 // copy passes bytes on until a side closes. Once it has dropped bytes it drops all
 // further ones, so that no process sees a damaged stream.
 func (p *proxied) copy(to, from net.Conn, inward bool) {
 	line := newDelayLine(to)
 	defer func() {
+		p.network.remove(p)
 		line.close()
 		_ = to.Close()
 		_ = from.Close()
