Number each assignment of a task

Cause: reports of agents named a task by job, index and attempt. A job that comes again under its id through the same entry, after its caller had left, begins with attempt 1 again; a report on the first one's tasks, held up by a partition, was taken for one on the second. The entry placed the tasks again while they ran.

Change: each assignment has a number that its entry uses once; reports carry it instead of the attempt.

Ruled out: refusing a job while agents have not acknowledged its withdrawal, which would turn callers away for as long as a partition lasts.

Tests: directmodel.TestSameJobAgain failed before (two runs at the same time).

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -111,8 +111,10 @@
 	// plan for that before planAfter.
 	changed   bool
 	planAfter time.Time
-	replies   []Reply
-	outbox    []message.Envelope
+	// assignment is the number of the last assignment of a task.
+	assignment uint64
+	replies    []Reply
+	outbox     []message.Envelope
 }
 
 // New returns a dispatcher that knows no agent.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -25,15 +25,17 @@
 
 // task is one task of a job. Its agent is nil while it is not assigned.
 type task struct {
-	job      *job
-	step     int
-	index    uint32
-	attempt  zinniasill.Attempt
-	failures int
-	returns  int
-	returned zinniasill.Reason // why it was returned last
-	done     bool
-	agent    *agent
+	job     *job
+	step    int
+	index   uint32
+	attempt zinniasill.Attempt
+	// assignment is the number of the last assignment.
+	assignment uint64
+	failures   int
+	returns    int
+	returned   zinniasill.Reason // why it was returned last
+	done       bool
+	agent      *agent
 	// avoid is the agent that returned the task last.
 	avoid *agent
 	// command is the number of the command that assigned the task.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -41,9 +41,13 @@
 		}
 		t.job.begun = true
 		t.attempt++
+		d.assignment++
+		t.assignment = d.assignment
 		t.agent = p.agent
 		p.agent.tasks[t] = struct{}{}
-		offer.Tasks = append(offer.Tasks, message.AssignedTask{Index: t.index, Attempt: t.attempt})
+		offer.Tasks = append(offer.Tasks, message.AssignedTask{
+			Index: t.index, Attempt: t.attempt, Assignment: t.assignment,
+		})
 	}
 	for _, g := range order {
 		room := g.agent.room
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -55,8 +55,7 @@
 
 func (a *agent) find(update message.TaskUpdate) *task {
 	for t := range a.tasks {
-		if t.job.ID == update.Task.Job && uint32(t.step) == update.Task.Step &&
-			t.index == update.Task.Index && t.attempt == update.Attempt {
+		if t.assignment == update.Assignment {
 			return t
 		}
 	}
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -14,17 +14,19 @@
 
 // task is one assigned task.
 type task struct {
-	id       zinniasill.TaskID
-	attempt  zinniasill.Attempt // the entry's number
-	run      zinniasill.Attempt // the number at the endpoint
-	owner    *session
-	state    chart.State
-	spec     string
-	need     resource.Amount
-	estimate time.Duration
-	priority int
-	due      time.Time // a later start misses the job's objective
-	queued   time.Time
+	id      zinniasill.TaskID
+	attempt zinniasill.Attempt // the entry's number
+	// assignment is the entry's number of this assignment.
+	assignment uint64
+	run        zinniasill.Attempt // the number at the endpoint
+	owner      *session
+	state      chart.State
+	spec       string
+	need       resource.Amount
+	estimate   time.Duration
+	priority   int
+	due        time.Time // a later start misses the job's objective
+	queued     time.Time
 
 	ordered time.Time
 	doubted time.Time // when the start was given up without an answer
@@ -55,7 +57,8 @@
 	for _, assigned := range offer.Tasks {
 		t := &task{
 			id:      zinniasill.TaskID{Job: offer.Job, Step: offer.Step, Index: assigned.Index},
-			attempt: assigned.Attempt, owner: sess, state: runChart.Initial(), spec: offer.Spec,
+			attempt: assigned.Attempt, assignment: assigned.Assignment, owner: sess,
+			state: runChart.Initial(), spec: offer.Spec,
 			need: offer.Need, estimate: offer.Estimate, priority: offer.Priority,
 			due: now.Add(offer.Slack), queued: now,
 		}
@@ -156,7 +159,7 @@
 	}
 	t.step(event)
 	t.owner.out.Push(message.TaskUpdate{
-		Task: t.id, Attempt: t.attempt, State: state, Reason: reason, Ran: t.ran, Took: t.took,
+		Task: t.id, Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran, Took: t.took,
 	})
 	s.record("task-closed", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 		slog.Int("state", int(state)), slog.String("reason", string(reason)), slog.Bool("ran", t.ran))
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -64,6 +64,9 @@
 type AssignedTask struct {
 	Index   uint32             `cbor:"1,keyasint,omitempty"`
 	Attempt zinniasill.Attempt `cbor:"2,keyasint"`
+	// Assignment is unique among all that this life of the entry assigns. A job of the
+	// same id may follow, with attempts that begin at 1 again.
+	Assignment uint64 `cbor:"3,keyasint"`
 }
 
 // Progress is an agent's answer to an entry.
@@ -100,10 +103,11 @@
 
 // TaskUpdate is a change of one assigned task.
 type TaskUpdate struct {
-	Task    zinniasill.TaskID  `cbor:"1,keyasint"`
-	Attempt zinniasill.Attempt `cbor:"2,keyasint"`
-	State   RunState           `cbor:"3,keyasint"`
-	Reason  zinniasill.Reason  `cbor:"4,keyasint,omitempty"`
+	Task zinniasill.TaskID `cbor:"1,keyasint"`
+	// Assignment is that of the AssignedTask.
+	Assignment uint64            `cbor:"2,keyasint"`
+	State      RunState          `cbor:"3,keyasint"`
+	Reason     zinniasill.Reason `cbor:"4,keyasint,omitempty"`
 	// Ran is set on RunReturned when the task had started.
 	Ran bool `cbor:"5,keyasint,omitempty"`
 	// Took is the run time of a task that ended.
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -25,7 +25,7 @@
 	endpoint := w.Agents[agent].Endpoint
 	switch rapid.SampledFrom([]string{
 		"cut", "one-way", "freeze-agent", "kill-agent", "kill-entry", "freeze-entry", "crash", "unanswered",
-		"slow", "fail", "hang", "drain", "silent",
+		"mostly-unanswered", "reset", "slow", "fail", "hang", "drain", "silent",
 	}).Draw(t, "fault") {
 	case "cut":
 		cut(w, fmt.Sprintf("agent-%d", agent), fmt.Sprintf("entry-%d", entry), length, true)
@@ -50,6 +50,16 @@
 		count := 0
 		endpoint.Faults.Unanswered = func(executor.Call) bool { count++; return count%5 == 0 }
 		w.After(length, func() { endpoint.Faults.Unanswered = nil })
+	case "mostly-unanswered":
+		endpoint.Faults.Late = time.Second
+		count := 0
+		endpoint.Faults.Unanswered = func(executor.Call) bool { count++; return count%4 != 0 }
+		w.After(length, func() { endpoint.Faults.Unanswered = nil })
+	case "reset":
+		endpoint.Faults.Late = 0
+		endpoint.Faults.Closes = true
+		endpoint.Faults.Unanswered = func(executor.Call) bool { return true }
+		w.After(length, func() { endpoint.Faults.Unanswered, endpoint.Faults.Closes = nil, false })
 	case "slow":
 		endpoint.Faults.Slow = 6
 		w.After(length, func() { endpoint.Faults.Slow = 0 })
@@ -84,6 +94,9 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := directmodel.New(directmodel.Config{Entries: 2, Agents: 3})
+		for _, a := range w.Agents {
+			a.Endpoint.ClockRate = rapid.SampledFrom([]float64{1, 0.98, 1.02}).Draw(t, "clock rate")
+		}
 		w.Settle()
 		jobs := map[string]int{}
 		for step := range 40 {
--- a/internal/directmodel/world_test.go
+++ b/internal/directmodel/world_test.go
@@ -380,3 +380,24 @@
 	}
 	noViolations(t, w)
 }
+
+// TestSameJobAgain guards against reports on the tasks of a job that its caller has left,
+// held up by a partition, that are taken for reports on a later job of the same id.
+func TestSameJobAgain(t *testing.T) {
+	w := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+	w.Settle()
+	cut := true
+	w.Cut = func(_, to zinniasill.NodeID) bool { return cut && to == "agent-0" }
+	request := w.Submit(0, directmodel.Job("a", 4, 300*time.Millisecond))
+	w.Run(40 * time.Millisecond)
+	w.Entries[0].Abandon(w.Now, request)
+	w.Run(40 * time.Millisecond)
+	w.Submit(0, directmodel.Job("a", 4, 300*time.Millisecond))
+	w.Run(40 * time.Millisecond)
+	cut = false
+	w.Run(2 * time.Second)
+	if len(w.Answers) != 1 || w.Answers[0].Result != dispatch.Completed {
+		t.Errorf("answers %+v", w.Answers)
+	}
+	noViolations(t, w)
+}
