--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -62,13 +62,13 @@
 // session than the current one, or of a former life of the entry.
 func (s *Supervisor) session(now time.Time, from zinniasill.NodeID, assign message.Assign) *session {
 	sess := s.sessions[assign.Entry]
-	if sess != nil && sess.superseded || sess != nil && assign.Session < sess.number {
-		return nil
-	}
-	if sess != nil && assign.Session == sess.number {
-		return sess
-	}
 	if sess != nil {
+		if sess.superseded || assign.Session < sess.number {
+			return nil
+		}
+		if assign.Session == sess.number {
+			return sess
+		}
 		s.record("session-replaced", slog.String("entry", string(from)), slog.Uint64("session", assign.Session))
 		s.endSession(sess, zinniasill.ReasonSuperseded)
 	}
--- a/io/disk/save.go
+++ b/io/disk/save.go
@@ -87,7 +87,7 @@
 	if _, err := f.segment.Seek(f.size, io.SeekStart); err != nil {
 		return eris.Wrapf(failed, "return to the end of the log: %v", err)
 	}
-	return eris.Wrapf(ErrFull, "%v", failed)
+	return fullError(failed)
 }
 
 // saveSnapshot replaces the snapshot, then begins a segment with the entries
@@ -177,8 +177,8 @@
 	return syncFolder(f.cfg.Path)
 }
 
-// fullError turns the error of a write to a file that is not in use yet into
-// ErrFull if the disk has no room.
+// fullError turns the error of a write that has left nothing behind into ErrFull if
+// the disk has no room.
 func fullError(err error) error {
 	if errors.Is(err, syscall.ENOSPC) {
 		return eris.Wrapf(ErrFull, "%v", err)
--- a/io/node/adapter.go
+++ b/io/node/adapter.go
@@ -70,6 +70,17 @@
 	Recorder   zinniasill.Recorder
 }
 
+// directTick is the time between ticks of the loops of these roles.
+const directTick = 20 * time.Millisecond
+
+// newLoop returns the loop of a role, which has not started.
+func (c DirectConfig) newLoop(machine daemon.Machine, after func(now time.Time)) *daemon.Loop {
+	return daemon.New(daemon.Config{
+		Machine: machine, Sender: c.Sender, Clock: c.Clock, Tick: directTick, After: after,
+		Dropped: func() { c.Counters.Inc("mailbox_dropped", "") },
+	})
+}
+
 func (p *Process) buildDispatcher() error {
 	cfg, link := p.directConfig(catalog.RoleEntry)
 	role := NewDispatcher(DispatcherConfig{DirectConfig: cfg, Compile: p.cfg.Adapter.Compile})
--- a/io/node/dispatcher.go
+++ b/io/node/dispatcher.go
@@ -12,13 +12,9 @@
 	"zinniasill/core/catalog"
 	"zinniasill/core/dispatch"
 	"zinniasill/core/route"
-	"zinniasill/io/daemon"
 )
 
 const (
-	// dispatchTick is the time between ticks of the loops of a dispatcher and of a
-	// supervisor.
-	dispatchTick = 20 * time.Millisecond
 	// lingerTime is how long a stopping dispatcher goes on taking requests: load
 	// balancers need two looks, a second apart, to see that it is not ready.
 	lingerTime = 2500 * time.Millisecond
@@ -59,10 +55,7 @@
 	d.jobs = dispatch.New(dispatch.Config{
 		Self: cfg.Keeper.Node(), Domain: cfg.Report.Domain, Recorder: cfg.Recorder,
 	})
-	d.loop = daemon.New(daemon.Config{
-		Machine: d.jobs, Sender: cfg.Sender, Clock: cfg.Clock, Tick: dispatchTick, After: d.after,
-		Dropped: func() { cfg.Counters.Inc("mailbox_dropped", "") },
-	})
+	d.loop = cfg.newLoop(d.jobs, d.after)
 	return d
 }
 
--- a/io/node/supervisor.go
+++ b/io/node/supervisor.go
@@ -9,7 +9,6 @@
 	"zinniasill"
 	"zinniasill/core/catalog"
 	"zinniasill/core/executor"
-	"zinniasill/io/daemon"
 )
 
 // SupervisorConfig configures a Supervisor.
@@ -39,10 +38,7 @@
 	s.runs = executor.New(executor.Config{
 		Self: cfg.Keeper.Node(), Domain: cfg.Report.Domain, Recorder: cfg.Recorder,
 	})
-	s.loop = daemon.New(daemon.Config{
-		Machine: s.runs, Sender: cfg.Sender, Clock: cfg.Clock, Tick: dispatchTick, After: s.after,
-		Dropped: func() { cfg.Counters.Inc("mailbox_dropped", "") },
-	})
+	s.loop = cfg.newLoop(s.runs, s.after)
 	return s
 }
 
