Leave out of a report what its entry no longer reads

Cause: since each assignment has a number, entries find a task by it; the task's name and its run time were still sent with each report and not read.

Change: both fields are gone, and the agent's copy of the run time with them.

Tests: internal/directmodel, core/dispatch, io/peer and io/node pass.

--- a/core/executor/hold.go
+++ b/core/executor/hold.go
@@ -206,8 +206,7 @@
 	}
 	switch end.Reason {
 	case zinniasill.EndDone:
-		t.took = now.Sub(began)
-		s.speed.done(now, t.took, t.estimate)
+		s.speed.done(now, now.Sub(began), t.estimate)
 		s.close(t, eventEnd, message.RunDone, "")
 	case zinniasill.EndFailed:
 		s.speed.failed(now)
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -31,7 +31,6 @@
 	ordered time.Time
 	doubted time.Time // when the start was given up without an answer
 	started time.Time
-	took    time.Duration // of a run that ended by itself
 	ran     bool
 	oldRuns int
 	// reason says why the run is stopped. stopSent is when the last stop was sent,
@@ -159,7 +158,7 @@
 	}
 	t.step(event)
 	t.owner.out.Push(message.TaskUpdate{
-		Task: t.id, Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran, Took: t.took,
+		Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran,
 	})
 	s.record("task-closed", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 		slog.Int("state", int(state)), slog.String("reason", string(reason)), slog.Bool("ran", t.ran))
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -103,15 +103,12 @@
 
 // TaskUpdate is a change of one assigned task.
 type TaskUpdate struct {
-	Task zinniasill.TaskID `cbor:"1,keyasint"`
 	// Assignment is that of the AssignedTask.
-	Assignment uint64            `cbor:"2,keyasint"`
-	State      RunState          `cbor:"3,keyasint"`
-	Reason     zinniasill.Reason `cbor:"4,keyasint,omitempty"`
+	Assignment uint64            `cbor:"1,keyasint"`
+	State      RunState          `cbor:"2,keyasint"`
+	Reason     zinniasill.Reason `cbor:"3,keyasint,omitempty"`
 	// Ran is set on RunReturned when the task had started.
-	Ran bool `cbor:"5,keyasint,omitempty"`
-	// Took is the run time of a task that ended.
-	Took time.Duration `cbor:"6,keyasint,omitempty"`
+	Ran bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Priorities is the number of priorities that a Room tells apart; higher ones count
