Tell runs that were lost with their endpoint from expired leases

An entry saw lease-expired for a crash of an endpoint, for a lease that ended while the endpoint ran on and for a lost agent, and nothing counted the endpoints that went under one task. Two of the three hypotheses of the incident could not be told apart.

Change: agents return such runs as endpoint-lost or endpoint-left, and record the silence, the refused connections and the age of each run. Entries count the endpoints lost under each task and record the count. Nothing decides by it yet.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -219,7 +219,8 @@
 func (d *Dispatcher) finish(now time.Time, j *job, result Result, reason zinniasill.Reason) {
 	d.record("job-ended", slog.String("job", j.ID), slog.String("queue", j.Queue),
 		slog.String("result", string(result)), slog.String("reason", string(reason)),
-		slog.Duration("after", now.Sub(j.arrivedAt)), slog.Duration("goal", j.targetTime))
+		slog.Duration("after", now.Sub(j.arrivedAt)), slog.Duration("goal", j.targetTime),
+		slog.Int("endpoints-lost", j.lostEndpoints()))
 	d.reply(j, result, reason, 0)
 	d.end(j)
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -32,9 +32,12 @@
 	index   uint32
 	attempt zinniasill.Attempt
 	// assignment is the number of the last assignment.
-	assignment       uint64
-	failures         int
-	returns          int
+	assignment uint64
+	failures   int
+	returns    int
+	// lostEndpoints is the number of endpoints that were lost while they may have run the
+	// task.
+	lostEndpoints    int
 	lastReturnReason zinniasill.Reason
 	done             bool
 	agent            *agent
@@ -111,6 +114,15 @@
 	return true
 }
 
+// lostEndpoints returns the most endpoints that were lost under one task.
+func (j *job) lostEndpoints() int {
+	most := 0
+	for _, t := range j.tasks {
+		most = max(most, t.lostEndpoints)
+	}
+	return most
+}
+
 // hasAssigned reports whether any task of the job is assigned to an agent.
 func (j *job) hasAssigned() bool {
 	for _, t := range j.tasks {
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -54,6 +54,9 @@
 			d.handleDecline(t)
 			return
 		}
+		if update.Reason == zinniasill.ReasonEndpointLost && update.Ran {
+			t.lostEndpoints++
+		}
 		d.handleReturn(now, t, update.Reason)
 	}
 }
@@ -86,7 +89,8 @@
 func (d *Dispatcher) handleReturn(now time.Time, t *task, reason zinniasill.Reason) {
 	d.record("task-returned", slog.String("job", t.job.ID), slog.Int("index", int(t.index)),
 		slog.String("agent", string(t.agent.id)), slog.String("reason", string(reason)),
-		slog.Bool("may-have-run", t.job.mayHaveRun), slog.Int("returns", t.returns+1))
+		slog.Bool("may-have-run", t.job.mayHaveRun), slog.Int("returns", t.returns+1),
+		slog.Int("endpoints-lost", t.lostEndpoints))
 	t.avoid = t.agent
 	t.agent.release(t)
 	t.returns++
--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -109,7 +109,7 @@
 		if pending.call.Start != nil {
 			s.handleStartResult(now, pending, result)
 		} else {
-			s.handleStopResult(pending, result)
+			s.handleStopResult(now, pending, result)
 		}
 	}
 	s.advance(now)
@@ -121,6 +121,9 @@
 func (s *Supervisor) observeResponse(now, issued time.Time, result zinniasill.OrderResult) {
 	if result.Outcome == zinniasill.OrderNoAnswer || result.Outcome == zinniasill.OrderUnreachable {
 		s.unanswered++
+		if result.Outcome == zinniasill.OrderUnreachable {
+			s.refused++
+		}
 		if s.unanswered == suspectThreshold {
 			s.record("endpoint-suspect", slog.Int("unanswered", s.unanswered), slog.Int("running", len(s.active)))
 			s.loadVersion++
@@ -133,6 +136,7 @@
 		s.loadVersion++
 	}
 	s.unanswered = 0
+	s.refused = 0
 	if result.Outcome != zinniasill.OrderOtherIncarnation {
 		s.lastContact = now
 		s.syncClock(now, result.Clock, now.Sub(issued))
@@ -168,7 +172,7 @@
 		s.stats.addFailure(now)
 		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonBusy)
 	case zinniasill.OrderOtherIncarnation:
-		s.loseEndpoint("endpoint-replaced")
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLost, "endpoint-replaced")
 	case zinniasill.OrderUnreachable:
 		s.startsBlockedUntil = now.Add(unreachableRetryDelay)
 		s.stats.addFailure(now)
@@ -249,7 +253,7 @@
 
 // handleStopResult handles the answer to a stop order. An accepted stop prevents the run
 // from starting later. If it was running, its completion will be listed.
-func (s *Supervisor) handleStopResult(pending pendingCall, result zinniasill.OrderResult) {
+func (s *Supervisor) handleStopResult(now time.Time, pending pendingCall, result zinniasill.OrderResult) {
 	t := pending.task
 	if t == nil {
 		return
@@ -260,7 +264,7 @@
 	}
 	switch {
 	case result.Outcome == zinniasill.OrderOtherIncarnation:
-		s.loseEndpoint("endpoint-replaced")
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLost, "endpoint-replaced")
 	case result.Outcome != zinniasill.OrderAccepted:
 	case t.state == stateDoubtful:
 		// The run may have started just before the stop: the next poll lists its
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -100,7 +100,7 @@
 		s.lease.failures = 0
 		s.reconcile(now, pending.issued, result)
 	case zinniasill.OrderOtherIncarnation:
-		s.loseEndpoint("endpoint-replaced")
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLost, "endpoint-replaced")
 	case zinniasill.OrderFenced:
 		s.fence = max(s.fence+1, uint64(result.Clock/time.Millisecond))
 	default:
@@ -122,7 +122,7 @@
 	}
 	s.lease.retryAt = now.Add(pause)
 	if now.Sub(s.lastRenewal()) > leaseExpiryTimeout {
-		s.loseRuns(zinniasill.ReasonLeaseExpired)
+		s.loseRuns(now, zinniasill.ReasonEndpointLost, "lease-expired")
 	}
 }
 
@@ -242,12 +242,17 @@
 	}
 }
 
-// loseRuns closes all tasks at an endpoint whose incarnation or lease has ended.
-func (s *Supervisor) loseRuns(reason zinniasill.Reason) {
+// loseRuns closes all tasks at an endpoint whose incarnation or lease has ended. The
+// recorded inputs tell a crash from a silence: connections are refused only where nothing
+// listens, and a run that caused a crash was often ordered just before the last answer.
+func (s *Supervisor) loseRuns(now time.Time, reason zinniasill.Reason, cause string) {
 	if len(s.active) > 0 {
-		s.record("runs-lost", slog.String("reason", string(reason)), slog.Int("runs", len(s.active)))
+		s.record("runs-lost", slog.String("reason", cause), slog.Int("runs", len(s.active)),
+			slog.Duration("silent", now.Sub(s.lastContact)), slog.Int("refused", s.refused))
 	}
 	for _, t := range s.sortedActive() {
+		s.record("run-lost", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
+			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", s.lastContact.Sub(t.orderedAt)))
 		// A start without an answer may have been carried out.
 		t.ran = true
 		s.close(t, eventDrop, message.RunReturned, reason)
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -127,6 +127,7 @@
 	loadVersion        uint64
 	startsBlockedUntil time.Time // no starts are ordered before this time
 	unanswered         int       // consecutive orders without an answer
+	refused            int       // refused connections since the last answer
 	runs               map[zinniasill.TaskID]lastRun
 	orphanStops        map[zinniasill.TaskID]time.Time
 	lastPruned         time.Time
@@ -170,7 +171,7 @@
 				slog.Int64("known", s.incarnation.StartedMillis))
 			return
 		}
-		s.replaceIncarnation(announcement)
+		s.replaceIncarnation(now, announcement)
 	} else if announcement.Sequence <= s.announced.Sequence && s.announced.Sequence != 0 {
 		return
 	}
@@ -189,14 +190,15 @@
 
 // replaceIncarnation switches to a new incarnation of the endpoint. No run of the
 // previous one survives in it.
-func (s *Supervisor) replaceIncarnation(announcement Announcement) {
-	s.loseRuns("endpoint-restarted")
+func (s *Supervisor) replaceIncarnation(now time.Time, announcement Announcement) {
+	s.loseRuns(now, zinniasill.ReasonEndpointLost, "endpoint-restarted")
 	s.incarnation = announcement.Incarnation
 	s.announced = Announcement{}
 	s.clock = 0
 	s.lease = leaseState{}
 	s.adopted = false
 	s.unanswered = 0
+	s.refused = 0
 	s.fence = uint64(announcement.Clock / time.Millisecond)
 	s.stats = stats{}
 	clear(s.runs)
@@ -207,14 +209,14 @@
 	s.markStarted(now)
 	if id == s.incarnation.ID {
 		s.record("endpoint-left", slog.String("life", id))
-		s.loseEndpoint("endpoint-left")
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLeft, "endpoint-left")
 	}
 }
 
 // loseEndpoint closes all tasks and treats the endpoint as absent until its next
-// announcement.
-func (s *Supervisor) loseEndpoint(reason zinniasill.Reason) {
-	s.loseRuns(reason)
+// announcement. The cause is only recorded.
+func (s *Supervisor) loseEndpoint(now time.Time, reason zinniasill.Reason, cause string) {
+	s.loseRuns(now, reason, cause)
 	s.returnQueue(reason)
 	s.present = false
 }
--- a/reason.go
+++ b/reason.go
@@ -30,6 +30,10 @@
 	ReasonDomainOut      Reason = "domain-out"
 	ReasonLeaving        Reason = "leaving"
 	ReasonWithdrawn      Reason = "withdrawn"
+	// ReasonEndpointLost means that the endpoint crashed, or that its lease expired without
+	// a renewal. ReasonEndpointLeft means that it shut down as announced.
+	ReasonEndpointLost Reason = "endpoint-lost"
+	ReasonEndpointLeft Reason = "endpoint-left"
 )
 
 // Ran states whether the work of a refused or failed job ran.
