Reproduce tasks that crash endpoint after endpoint

The model had no endpoint that crashes under a task, and a crashed endpoint there left calls without an answer instead of refusing connections.

Change: directmodel has such tasks and endpoints, and each simulation checks the users' limit. No logic changes.

--- a/internal/directmodel/check.go
+++ b/internal/directmodel/check.go
@@ -8,7 +8,7 @@
 )
 
 // recordStart records that a task of a job started.
-func (s *Simulation) recordStart(_ *Endpoint, task zinniasill.TaskID) {
+func (s *Simulation) recordStart(task zinniasill.TaskID) {
 	s.started[task.Job] = true
 }
 
--- /dev/null
+++ b/internal/directmodel/crash_test.go
@@ -0,0 +1,96 @@
+package directmodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/dispatch"
+	"zinniasill/internal/directmodel"
+)
+
+// maxCrashes is the number of endpoints that one task may crash before it is given up.
+const maxCrashes = 2
+
+// crashesByFirstTask makes the first task of the given jobs crash each endpoint that starts
+// it.
+func crashesByFirstTask(jobs ...string) func(zinniasill.TaskID) bool {
+	return func(task zinniasill.TaskID) bool {
+		for _, job := range jobs {
+			if task.Job == job && task.Index == 0 {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// TestTaskCrashesEndpointAfterEndpoint guards against a task that crashes every endpoint
+// that starts it and is started again each time, until no endpoint is left.
+func TestTaskCrashesEndpointAfterEndpoint(t *testing.T) {
+	tests := map[string]time.Duration{
+		"short task":     60 * time.Millisecond,
+		"long task":      900 * time.Millisecond,
+		"very long task": 3 * time.Second,
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 3, Agents: 11})
+			s.CrashesEndpoint = crashesByFirstTask("deadly")
+			s.Settle()
+			s.Submit(0, directmodel.Job("deadly", 4, run))
+			s.Run(20 * time.Second)
+			if crashes := s.CrashesBy("deadly"); crashes > maxCrashes {
+				t.Errorf("one task crashed %d endpoints, want at most %d", crashes, maxCrashes)
+			}
+			if len(s.Answers) != 1 || s.Answers[0].Result == dispatch.Completed || s.Answers[0].Result == dispatch.Refused {
+				t.Errorf("answers %+v, want one, neither completed nor refused", s.Answers)
+			}
+			noViolations(t, s)
+		})
+	}
+}
+
+// TestBystandersOfCrash guards against failing jobs whose tasks only ran beside a task that
+// crashes its endpoints, and against placing them beside it again.
+func TestBystandersOfCrash(t *testing.T) {
+	const bystanders = 30
+	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 11})
+	s.CrashesEndpoint = crashesByFirstTask("deadly")
+	s.Settle()
+	for i := range bystanders {
+		s.Submit(0, directmodel.Job(fmt.Sprintf("bystander-%d", i), 2, 2*time.Second))
+		s.Run(5 * time.Millisecond)
+	}
+	s.Submit(0, directmodel.Job("deadly", 4, 2*time.Second))
+	s.Run(20 * time.Second)
+	completed := 0
+	for _, answer := range s.Answers {
+		if answer.Result == dispatch.Completed {
+			completed++
+		}
+	}
+	if completed != bystanders {
+		t.Errorf("%d of %d other jobs were completed", completed, bystanders)
+	}
+	if crashes := s.CrashesBy("deadly"); crashes > maxCrashes {
+		t.Errorf("one task crashed %d endpoints, want at most %d", crashes, maxCrashes)
+	}
+	noViolations(t, s)
+}
+
+// TestResentTaskCrashesEndpoints guards against a job that crashes an endpoint each time
+// that its caller sends it again, because no entry knows what happened at the other.
+func TestResentTaskCrashesEndpoints(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 2, Agents: 11})
+	s.CrashesEndpoint = crashesByFirstTask("deadly")
+	s.Settle()
+	submissions := map[string]int{"deadly": 1}
+	submit(s, "deadly", 0, 4, submissions)
+	s.Run(40 * time.Second)
+	if crashes := s.CrashesBy("deadly"); crashes > maxCrashes {
+		t.Errorf("one task crashed %d endpoints in %d submissions, want at most %d", crashes, submissions["deadly"], maxCrashes)
+	}
+	noViolations(t, s)
+}
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -40,6 +40,7 @@
 	ClockRate float64
 
 	sim            *Simulation
+	down           bool // crashed and not started again
 	clockStart     time.Time
 	sequence       uint64
 	deadline       time.Duration // of the lease, on the endpoint's clock
@@ -72,6 +73,7 @@
 // Restart discards all runs and begins a new incarnation with the same ID.
 func (e *Endpoint) Restart() {
 	e.Incarnation.StartedMillis += 1000
+	e.down = false
 	e.reset()
 }
 
@@ -198,7 +200,8 @@
 	e.running[order.Task] = &run{
 		attempt: order.Run, need: spec.need, endAt: e.sim.Now.Add(time.Duration(runTime)),
 	}
-	e.sim.recordStart(e, order.Task)
+	e.sim.recordStart(order.Task)
+	e.sim.crashAfterStart(e, order.Task)
 	return zinniasill.OrderAccepted
 }
 
--- a/internal/directmodel/link.go
+++ b/internal/directmodel/link.go
@@ -40,10 +40,14 @@
 		if e.Faults.ResetConnections {
 			timeout = callDelay
 		}
-		s.After(timeout, func() { s.reportNoAnswer(a, incarnation, call) })
+		s.After(timeout, func() { s.reportOutcome(a, incarnation, call, zinniasill.OrderNoAnswer) })
 		return
 	}
 	s.After(callDelay, func() {
+		if e.down {
+			s.After(callDelay, func() { s.reportOutcome(a, incarnation, call, zinniasill.OrderUnreachable) })
+			return
+		}
 		if call.Renew != nil {
 			if call.Renew.Incarnation == e.Incarnation {
 				e.extend(call.Renew.Deadline)
@@ -59,9 +63,11 @@
 	})
 }
 
-// reportNoAnswer reports to the agent that a call got no answer.
-func (s *Simulation) reportNoAnswer(a *Agent, incarnation zinniasill.Incarnation, call executor.Call) {
-	none := zinniasill.OrderResult{Outcome: zinniasill.OrderNoAnswer}
+// reportOutcome reports to the agent that a call got no answer of the endpoint.
+func (s *Simulation) reportOutcome(
+	a *Agent, incarnation zinniasill.Incarnation, call executor.Call, outcome zinniasill.OrderOutcome,
+) {
+	none := zinniasill.OrderResult{Outcome: outcome}
 	s.runOnAgent(a, incarnation, func() {
 		if call.Renew != nil {
 			a.Renewed(a.now(s), call.ID, zinniasill.RenewResult{OrderResult: none})
@@ -78,6 +84,10 @@
 	pending := a.renewals
 	a.renewals = nil
 	for _, renewal := range pending {
+		if a.Endpoint.down {
+			s.After(callDelay, func() { s.reportOutcome(a, incarnation, renewal.call, zinniasill.OrderNoAnswer) })
+			continue
+		}
 		unreported := slices.ContainsFunc(a.Endpoint.completions, func(c zinniasill.Completion) bool {
 			return c.Number > renewal.call.Renew.Cursor
 		})
--- a/internal/directmodel/simulation.go
+++ b/internal/directmodel/simulation.go
@@ -113,6 +113,8 @@
 	Violations []string
 	// Drop reports whether a message between two processes is lost.
 	Drop func(from, to zinniasill.NodeID) bool
+	// CrashesEndpoint, if set, reports whether a task crashes each endpoint that starts it.
+	CrashesEndpoint func(task zinniasill.TaskID) bool
 	// Sent, if set, is called with each message that a process sends.
 	Sent func(from zinniasill.NodeID, env message.Envelope)
 
@@ -125,6 +127,7 @@
 	specs           map[string]taskSpec
 	submitted       map[dispatch.RequestID]submission
 	started         map[string]bool
+	crashes         map[zinniasill.TaskID]*crashRecord
 	lastRequest     dispatch.RequestID
 	lastIncarnation zinniasill.Incarnation
 }
@@ -147,6 +150,7 @@
 	s := &Simulation{
 		Now: start, start: start, cfg: cfg, specs: map[string]taskSpec{},
 		submitted: map[dispatch.RequestID]submission{}, started: map[string]bool{},
+		crashes:     map[zinniasill.TaskID]*crashRecord{},
 		entriesByID: map[zinniasill.NodeID]*Entry{}, agentsByID: map[zinniasill.NodeID]*Agent{},
 		Drop: func(zinniasill.NodeID, zinniasill.NodeID) bool { return false },
 	}
@@ -301,7 +305,7 @@
 	for _, a := range s.Agents {
 		a.Endpoint.advance()
 		s.answerRenewals(a)
-		if elapsed%announceInterval < timeResolution && !a.Endpoint.Faults.Unresponsive {
+		if elapsed%announceInterval < timeResolution && !a.Endpoint.Faults.Unresponsive && !a.Endpoint.down {
 			s.runOnAgent(a, a.incarnation, func() { a.Announce(a.now(s), a.Endpoint.announcement()) })
 		}
 		if s.Now.Sub(a.lastTick) >= a.TickInterval() {
