Fail a job once two endpoints have crashed under one of its tasks

What callers saw: one job whose task crashes each endpoint that starts it took 3 to 9 of 11 endpoints with it, and other jobs were refused or answered with 504 for want of endpoints.

Cause: a run that was lost with its endpoint counted as a task that its agent had returned (at most eight times), not as a failure. Only three times the job's target time ended it.

Change: the entry counts the endpoints that crashed under each task, and answers the job with failed (endpoint-lost) at the second. Only a crash counts: the run was known to have started, and the endpoint refused connections or came back as a new incarnation. A start without an answer is returned as outcome-unknown, a silence as lease-expired, the end of a draining endpoint as endpoint-left.

Ruled out: counting the crashes as failures against the queue's attempts, since two are enough to tell, and a queue may allow more.

--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -14,6 +14,10 @@
 // maxReturns is how often one task is requeued after a return before its job is aborted.
 const maxReturns = 8
 
+// maxLostEndpoints is the number of endpoints lost under one task at which its job fails.
+// The first may have been lost for another reason than the task.
+const maxLostEndpoints = 2
+
 // pausePerOperation is the pause after a placement pass for each operation in it.
 // Without the pause, an entry under overload, with many reporting agents and many
 // waiting tasks, would run a pass for each report and need more CPU time than it has. An
@@ -95,11 +99,14 @@
 	t.agent.release(t)
 	t.returns++
 	t.lastReturnReason = reason
-	if t.returns > maxReturns {
+	switch {
+	case t.lostEndpoints >= maxLostEndpoints:
+		d.finish(now, t.job, Failed, reason)
+	case t.returns > maxReturns:
 		d.abort(now, t.job, reason)
-		return
+	default:
+		d.requeue(t)
 	}
-	d.requeue(t)
 }
 
 // handleDecline handles a task that its agent has no free capacity for. It is placed again
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -122,10 +122,20 @@
 	}
 	s.lease.retryAt = now.Add(pause)
 	if now.Sub(s.lastRenewal()) > leaseExpiryTimeout {
-		s.loseRuns(now, zinniasill.ReasonEndpointLost, "lease-expired")
+		s.loseRuns(now, s.silenceReason(), "lease-expired")
 	}
 }
 
+// silenceReason returns the reason for which runs are lost after a silence. Where
+// connections are refused nothing listens any more; otherwise the endpoint may have run on
+// until its lease expired.
+func (s *Supervisor) silenceReason() zinniasill.Reason {
+	if s.refused > 0 {
+		return zinniasill.ReasonEndpointLost
+	}
+	return zinniasill.ReasonLeaseExpired
+}
+
 // lastRenewal returns the latest time at which the lease is known to have been extended.
 func (s *Supervisor) lastRenewal() time.Time {
 	last := s.lease.renewedAt
@@ -250,11 +260,18 @@
 		s.record("runs-lost", slog.String("reason", cause), slog.Int("runs", len(s.active)),
 			slog.Duration("silent", now.Sub(s.lastContact)), slog.Int("refused", s.refused))
 	}
+	if s.announced.Draining {
+		reason = zinniasill.ReasonEndpointLeft
+	}
 	for _, t := range s.sortedActive() {
 		s.record("run-lost", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", s.lastContact.Sub(t.orderedAt)))
-		// A start without an answer may have been carried out.
-		t.ran = true
+		if !t.ran {
+			// The start was not answered and may have been carried out.
+			t.ran = true
+			s.close(t, eventDrop, message.RunReturned, zinniasill.ReasonOutcomeUnknown)
+			continue
+		}
 		s.close(t, eventDrop, message.RunReturned, reason)
 	}
 }
--- a/internal/directmodel/crash_test.go
+++ b/internal/directmodel/crash_test.go
@@ -7,6 +7,7 @@
 
 	"zinniasill"
 	"zinniasill/core/dispatch"
+	"zinniasill/core/executor"
 	"zinniasill/internal/directmodel"
 )
 
@@ -94,3 +95,54 @@
 	}
 	noViolations(t, s)
 }
+
+// TestJobFailedWithoutCrash guards against failing a job although no endpoint has crashed
+// while it ran its tasks.
+func TestJobFailedWithoutCrash(t *testing.T) {
+	const times = 2
+	tests := map[string]func(s *directmodel.Simulation){
+		"start not carried out before the crash": func(s *directmodel.Simulation) {
+			crashes := 0
+			for _, a := range s.Agents {
+				endpoint := a.Endpoint
+				endpoint.Faults.Unanswered = func(call executor.Call) bool {
+					if call.Start == nil || crashes == times {
+						return false
+					}
+					crashes++
+					endpoint.Crash(time.Second)
+					return true
+				}
+			}
+		},
+		"silent endpoint": func(s *directmodel.Simulation) {
+			silences := 0
+			var silence func()
+			silence = func() {
+				for _, a := range s.Agents {
+					endpoint := a.Endpoint
+					if silences < times && endpoint.Running() > 0 && !endpoint.Faults.Unresponsive {
+						silences++
+						endpoint.Faults.Unresponsive = true
+						s.After(1500*time.Millisecond, func() { endpoint.Faults.Unresponsive = false })
+					}
+				}
+				s.After(100*time.Millisecond, silence)
+			}
+			silence()
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 1, Agents: 4})
+			s.Settle()
+			disturb(s)
+			s.Submit(0, directmodel.Job("a", 1, 3*time.Second))
+			s.Run(20 * time.Second)
+			if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
+				t.Errorf("answers %+v, want one, completed", s.Answers)
+			}
+			noViolations(t, s)
+		})
+	}
+}
--- a/reason.go
+++ b/reason.go
@@ -30,8 +30,8 @@
 	ReasonDomainOut      Reason = "domain-out"
 	ReasonLeaving        Reason = "leaving"
 	ReasonWithdrawn      Reason = "withdrawn"
-	// ReasonEndpointLost means that the endpoint crashed, or that its lease expired without
-	// a renewal. ReasonEndpointLeft means that it shut down as announced.
+	// ReasonEndpointLost means that the endpoint crashed while it was known to run the
+	// task. ReasonEndpointLeft means that it shut down as announced.
 	ReasonEndpointLost Reason = "endpoint-lost"
 	ReasonEndpointLeft Reason = "endpoint-left"
 )
