Do not extend the lease of an endpoint that leaves renewals unanswered

Cause: the agent took the runs for ended 1.07 s after the last answered renewal, but went on sending renewals with a deadline, and the endpoint carried them out. The same held for an agent that had just started, whose renewals kept alive the runs of the former process until the lists were read. Class: a permission was renewed by an order whose outcome was unknown, and its end was counted from the last known outcome.

Change: after a failed renewal, and before the lists are adopted, renewals ask for the lists only. The lease counts from the last order that may have extended it, answered or not, except where the connection was refused. The model's endpoints carry out unanswered renewals too.

Tests: directmodel.TestMuteEndpoint, both cases failed before ('task a.0.0 runs at two endpoints'); TestRandomFaults with the stricter model passes.

Ruled out: waiting longer before runs count as lost, since no time is long enough while renewals are carried out.

--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -104,6 +104,7 @@
 	}
 	delete(s.pendingCalls, id)
 	if pending.incarnation == s.incarnation {
+		s.noteExtension(pending, result.Outcome)
 		s.responses.observe(now.Sub(pending.issued), result.Outcome)
 		s.observeResponse(now, pending.issued, result)
 		if pending.call.Start != nil {
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -16,9 +16,11 @@
 	lastPoll    time.Time
 	cursor      uint64 // the last completion that was processed
 	ackedCursor uint64 // the cursor of the last accepted renewal
-	renewedAt   time.Time
-	retryAt     time.Time
-	failures    int
+	// extendedAt is when the last answered order that may have extended the lease was
+	// issued.
+	extendedAt time.Time
+	retryAt    time.Time
+	failures   int
 }
 
 // maxCompletions is the length from which a list of completions may be truncated.
@@ -35,7 +37,7 @@
 		return
 	}
 	wait := time.Duration(0)
-	if s.adopted && busy && !s.suspect() {
+	if s.mayExtendLease() && busy && !s.suspect() {
 		wait = renewalWait
 	}
 	s.lease.renewing = true
@@ -43,16 +45,26 @@
 }
 
 func (s *Supervisor) issueRenewal(now time.Time, wait time.Duration, poll bool) {
+	deadline := time.Duration(0)
+	if s.mayExtendLease() {
+		deadline = s.endpointClock(now) + EndpointLease
+	}
 	s.issue(now, Call{
 		Renew: &zinniasill.RenewOrder{
-			Incarnation: s.incarnation, Fence: s.fence, Cursor: s.lease.cursor, Wait: wait,
-			Deadline: s.endpointClock(now) + EndpointLease,
+			Incarnation: s.incarnation, Fence: s.fence, Cursor: s.lease.cursor, Wait: wait, Deadline: deadline,
 		},
 		Timeout: wait + s.responses.timeout(),
 		poll:    poll,
 	}, nil)
 }
 
+// mayExtendLease reports whether renewals extend the lease. A renewal without an answer may
+// still be carried out, so after a failure, renewals only ask for an answer: the lease must
+// end if none arrives. Runs that another process started are left to expire.
+func (s *Supervisor) mayExtendLease() bool {
+	return s.adopted && s.lease.failures == 0
+}
+
 // poll requests the lists at once if the state of a run is to be read from them. A run
 // whose order was not answered would make its job late if it waited for the next
 // renewal, or for the answer to a stop of a run that never started.
@@ -90,12 +102,10 @@
 	} else {
 		s.lease.renewing = false
 	}
+	s.noteExtension(pending, result.Outcome)
 	s.observeResponse(now, pending.issued, result.OrderResult)
 	switch result.Outcome {
 	case zinniasill.OrderAccepted:
-		if pending.issued.After(s.lease.renewedAt) {
-			s.lease.renewedAt = pending.issued
-		}
 		s.lease.ackedCursor = max(s.lease.ackedCursor, pending.call.Renew.Cursor)
 		s.lease.failures = 0
 		s.reconcile(now, pending.issued, result)
@@ -109,8 +119,8 @@
 	s.advance(now)
 }
 
-// handleRenewalFailure handles a renewal without a usable answer. Once the lease that
-// was last renewed has expired, all runs at the endpoint have ended.
+// handleRenewalFailure handles a renewal without a usable answer. Once the lease has
+// expired, all runs at the endpoint have ended.
 func (s *Supervisor) handleRenewalFailure(now, issued time.Time, outcome zinniasill.OrderOutcome) {
 	s.lease.failures++
 	s.record("hold-failed", slog.String("outcome", string(outcome)), slog.Int("failed", s.lease.failures),
@@ -121,7 +131,7 @@
 		pause = min(time.Duration(s.lease.failures)*pollInterval, unreachableRetryDelay)
 	}
 	s.lease.retryAt = now.Add(pause)
-	if now.Sub(s.lastRenewal()) > leaseExpiryTimeout {
+	if now.Sub(s.lastExtension()) > leaseExpiryTimeout {
 		s.loseRuns(now, s.silenceReason(), "lease-expired")
 	}
 }
@@ -136,12 +146,26 @@
 	return zinniasill.ReasonLeaseExpired
 }
 
-// lastRenewal returns the latest time at which the lease is known to have been extended.
-func (s *Supervisor) lastRenewal() time.Time {
-	last := s.lease.renewedAt
-	for _, t := range s.active {
-		if t.orderedAt.After(last) {
-			last = t.orderedAt
+// extendsLease reports whether the call extends the lease when it is carried out.
+func (c Call) extendsLease() bool {
+	return c.Start != nil || c.Renew != nil && c.Renew.Deadline > 0
+}
+
+// noteExtension records that an answered call may have extended the lease. A call was
+// surely not carried out only if nothing listened at the endpoint's address.
+func (s *Supervisor) noteExtension(pending pendingCall, outcome zinniasill.OrderOutcome) {
+	if outcome != zinniasill.OrderUnreachable && pending.call.extendsLease() && pending.issued.After(s.lease.extendedAt) {
+		s.lease.extendedAt = pending.issued
+	}
+}
+
+// lastExtension returns the latest time at which an order that may have extended the lease
+// was issued.
+func (s *Supervisor) lastExtension() time.Time {
+	last := s.lease.extendedAt
+	for _, pending := range s.pendingCalls {
+		if pending.incarnation == s.incarnation && pending.call.extendsLease() && pending.issued.After(last) {
+			last = pending.issued
 		}
 	}
 	return last
--- a/executor.go
+++ b/executor.go
@@ -44,8 +44,9 @@
 // RenewOrder renews the lease that covers all runs at the endpoint.
 type RenewOrder struct {
 	Incarnation EndpointIncarnation
-	Deadline    time.Duration
-	Fence       uint64
+	// Deadline is the time to which the lease is extended, 0 if it is not.
+	Deadline time.Duration
+	Fence    uint64
 	// Cursor is the number of the last completion that was processed.
 	Cursor uint64
 	Wait   time.Duration
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -12,7 +12,7 @@
 
 // Faults are the faults to inject at an endpoint.
 type Faults struct {
-	// Unanswered, if set, reports whether a call gets no answer. An unanswered order is
+	// Unanswered, if set, reports whether a call gets no answer. An unanswered call is
 	// executed after ExecutionDelay, or never if that is 0.
 	Unanswered     func(call executor.Call) bool
 	ExecutionDelay time.Duration
@@ -146,9 +146,19 @@
 	e.completions = append(e.completions, zinniasill.Completion{Number: e.lastCompletion, Task: id, Run: r.attempt, Reason: reason})
 }
 
-// execute executes a start or stop order.
+// execute executes an order. The lists that a renewal returns are not part of the result.
 func (e *Endpoint) execute(call executor.Call) zinniasill.OrderResult {
 	result := zinniasill.OrderResult{Clock: e.clock(), Outcome: zinniasill.OrderAccepted}
+	if e.down {
+		result.Outcome = zinniasill.OrderUnreachable
+		return result
+	}
+	if call.Renew != nil {
+		if call.Renew.Incarnation == e.Incarnation {
+			e.extend(call.Renew.Deadline)
+		}
+		return result
+	}
 	if call.Start != nil {
 		result.Outcome = e.startRun(*call.Start)
 		return result
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -229,3 +229,33 @@
 		noViolations(t, s)
 	}
 }
+
+// TestMuteEndpoint guards against a second run of a task whose endpoint carries out all
+// calls and answers none: lease renewals without an answer must not keep alive the runs
+// that the agent takes for ended.
+func TestMuteEndpoint(t *testing.T) {
+	tests := map[string]func(s *directmodel.Simulation){
+		"running agent":   func(*directmodel.Simulation) {},
+		"restarted agent": func(s *directmodel.Simulation) { s.RestartAgent(0) },
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 1, Agents: 3})
+			s.Settle()
+			s.Submit(0, directmodel.Job("a", 12, 4*time.Second))
+			// The endpoint announces itself 100 ms later.
+			s.Run(900 * time.Millisecond)
+			mute := s.Agents[0].Endpoint
+			mute.Faults.ExecutionDelay = time.Millisecond
+			mute.Faults.Unanswered = func(executor.Call) bool { return true }
+			disturb(s)
+			s.Run(5 * time.Second)
+			mute.Faults.Unanswered = nil
+			s.Run(5 * time.Second)
+			if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
+				t.Errorf("answers %+v, want one, completed", s.Answers)
+			}
+			noViolations(t, s)
+		})
+	}
+}
--- a/internal/directmodel/link.go
+++ b/internal/directmodel/link.go
@@ -33,7 +33,7 @@
 	e := a.Endpoint
 	unanswered := e.Faults.Unresponsive || e.Faults.Unanswered != nil && e.Faults.Unanswered(call)
 	if unanswered {
-		if late := e.Faults.ExecutionDelay; late > 0 && call.Renew == nil {
+		if late := e.Faults.ExecutionDelay; late > 0 {
 			s.After(late, func() { e.execute(call) })
 		}
 		timeout := call.Timeout
@@ -49,9 +49,7 @@
 			return
 		}
 		if call.Renew != nil {
-			if call.Renew.Incarnation == e.Incarnation {
-				e.extend(call.Renew.Deadline)
-			}
+			e.execute(call)
 			a.renewals = append(a.renewals, pendingRenewal{call: call, until: s.Now.Add(call.Renew.Wait)})
 			s.answerRenewals(a)
 			return
