Remember crashes across entries and submissions

A caller that sends its job again after 504, a lost answer or the restart of its entry began a new count, and each submission crashed an endpoint: 10 in 10 submissions in the model.

Cause: only the entry that owned the job counted, and only while the job was in progress. Class: state that protects a shared resource was kept with one request of one process.

Change: agents number the crashes of their endpoint and report each run under which it crashed to all their entries (RunCrashed), and in each new session those of the last 30 s. Entries keep the crashes by task for 30 s; the same crash counts once. A job with a task under which two endpoints have crashed is refused its third start at any of these entries, and answered with failed at once.

TestRandomFaults has crashing tasks and endpoints that refuse connections, and the users' limit is checked in it.

Ruled out: sending the count with offers alone, because the agent that is offered the task may have no part in the earlier ones.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -105,6 +105,7 @@
 	domainsOut   map[zinniasill.Domain]bool
 	jobs         map[string]*job
 	requests     map[RequestID]*job
+	crashes      crashLog
 	// unplaced are the tasks that wait to be placed at an agent.
 	unplaced []*task
 	// placementDue is set when it may have become possible to place a waiting task. No
@@ -126,6 +127,7 @@
 		domainsOut: map[zinniasill.Domain]bool{},
 		jobs:       map[string]*job{},
 		requests:   map[RequestID]*job{},
+		crashes:    crashLog{},
 	}
 }
 
@@ -138,6 +140,10 @@
 		return
 	}
 	j := newJob(now, request, spec)
+	if d.crashes.most(j) >= maxCrashes {
+		d.finish(now, j, Failed, zinniasill.ReasonEndpointLost)
+		return
+	}
 	candidates := d.candidates(now)
 	wait, reason := d.admit(now, j, candidates)
 	if reason != "" {
@@ -212,6 +218,7 @@
 		}
 	}
 	d.forgetUnused(now)
+	d.crashes.expire(now)
 	d.placementDue = true
 }
 
@@ -220,7 +227,7 @@
 	d.record("job-ended", slog.String("job", j.ID), slog.String("queue", j.Queue),
 		slog.String("result", string(result)), slog.String("reason", string(reason)),
 		slog.Duration("after", now.Sub(j.arrivedAt)), slog.Duration("goal", j.targetTime),
-		slog.Int("endpoints-lost", j.lostEndpoints()))
+		slog.Int("endpoints-lost", d.crashes.most(j)))
 	d.reply(j, result, reason, 0)
 	d.end(j)
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -32,12 +32,9 @@
 	index   uint32
 	attempt zinniasill.Attempt
 	// assignment is the number of the last assignment.
-	assignment uint64
-	failures   int
-	returns    int
-	// lostEndpoints is the number of endpoints that were lost while they may have run the
-	// task.
-	lostEndpoints    int
+	assignment       uint64
+	failures         int
+	returns          int
 	lastReturnReason zinniasill.Reason
 	done             bool
 	agent            *agent
@@ -59,6 +56,10 @@
 	return j
 }
 
+func (t *task) id() zinniasill.TaskID {
+	return zinniasill.TaskID{Job: t.job.ID, Step: uint32(t.step), Index: t.index}
+}
+
 // hash returns a hash that differs between the tasks of a job and between its attempts.
 func (t *task) hash() uint64 {
 	return rendezvous.Score(t.job.hash, uint64(t.step)<<48|uint64(t.attempt)<<32|uint64(t.index))
@@ -114,15 +115,6 @@
 	return true
 }
 
-// lostEndpoints returns the most endpoints that were lost under one task.
-func (j *job) lostEndpoints() int {
-	most := 0
-	for _, t := range j.tasks {
-		most = max(most, t.lostEndpoints)
-	}
-	return most
-}
-
 // hasAssigned reports whether any task of the job is assigned to an agent.
 func (j *job) hasAssigned() bool {
 	for _, t := range j.tasks {
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -14,10 +14,6 @@
 // maxReturns is how often one task is requeued after a return before its job is aborted.
 const maxReturns = 8
 
-// maxLostEndpoints is the number of endpoints lost under one task at which its job fails.
-// The first may have been lost for another reason than the task.
-const maxLostEndpoints = 2
-
 // pausePerOperation is the pause after a placement pass for each operation in it.
 // Without the pause, an entry under overload, with many reporting agents and many
 // waiting tasks, would run a pass for each report and need more CPU time than it has. An
@@ -29,8 +25,12 @@
 
 // update handles an agent's update for one task.
 func (d *Dispatcher) update(now time.Time, a *agent, update message.TaskUpdate) {
+	c := crash{agent: a.id, incarnation: a.incarnation, number: update.Crash}
 	t := a.findTask(update)
 	if t == nil {
+		if update.State == message.RunCrashed {
+			d.crashes.add(now, update.Task, c)
+		}
 		return
 	}
 	j := t.job
@@ -38,6 +38,8 @@
 		j.mayHaveRun = true
 	}
 	switch update.State {
+	case message.RunCrashed:
+		// It has no assignment.
 	case message.RunDone:
 		a.release(t)
 		d.taskDone(now, t)
@@ -58,8 +60,8 @@
 			d.handleDecline(t)
 			return
 		}
-		if update.Reason == zinniasill.ReasonEndpointLost && update.Ran {
-			t.lostEndpoints++
+		if update.Crash > 0 {
+			d.crashes.add(now, t.id(), c)
 		}
 		d.handleReturn(now, t, update.Reason)
 	}
@@ -94,13 +96,13 @@
 	d.record("task-returned", slog.String("job", t.job.ID), slog.Int("index", int(t.index)),
 		slog.String("agent", string(t.agent.id)), slog.String("reason", string(reason)),
 		slog.Bool("may-have-run", t.job.mayHaveRun), slog.Int("returns", t.returns+1),
-		slog.Int("endpoints-lost", t.lostEndpoints))
+		slog.Int("endpoints-lost", d.crashes.count(t.id())))
 	t.avoid = t.agent
 	t.agent.release(t)
 	t.returns++
 	t.lastReturnReason = reason
 	switch {
-	case t.lostEndpoints >= maxLostEndpoints:
+	case d.crashes.count(t.id()) >= maxCrashes:
 		d.finish(now, t.job, Failed, reason)
 	case t.returns > maxReturns:
 		d.abort(now, t.job, reason)
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -287,6 +287,9 @@
 	if s.announced.Draining {
 		reason = zinniasill.ReasonEndpointLeft
 	}
+	if reason == zinniasill.ReasonEndpointLost {
+		s.lastCrash++
+	}
 	for _, t := range s.sortedActive() {
 		s.record("run-lost", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", s.lastContact.Sub(t.orderedAt)))
@@ -296,6 +299,10 @@
 			s.close(t, eventDrop, message.RunReturned, zinniasill.ReasonOutcomeUnknown)
 			continue
 		}
+		if reason == zinniasill.ReasonEndpointLost {
+			t.crash = s.lastCrash
+			s.reportCrash(now, t)
+		}
 		s.close(t, eventDrop, message.RunReturned, reason)
 	}
 }
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -32,6 +32,7 @@
 	doubtfulSince time.Time // when the start timed out without an answer
 	startedAt     time.Time
 	ran           bool
+	crash         uint64 // number of the crash that ended the run, 0 if none did
 	staleRetries  int
 	// reason is the reason for stopping the run. lastStop is the time of the last stop
 	// order, stopPending is set while one is unanswered and stopAccepted once one was
@@ -183,7 +184,7 @@
 	}
 	t.apply(event)
 	t.owner.out.Push(message.TaskUpdate{
-		Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran,
+		Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran, Crash: t.crash,
 	})
 	s.record("task-closed", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 		slog.Int("state", int(state)), slog.String("reason", string(reason)), slog.Bool("ran", t.ran))
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -109,6 +109,7 @@
 	sess = &session{
 		entry: zinniasill.Node{ID: from}, incarnation: assign.Entry, number: assign.Session, leaseEnd: now,
 	}
+	s.reportCrashes(sess)
 	s.sessions[assign.Entry] = sess
 	return sess
 }
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -129,6 +129,8 @@
 	unanswered         int       // consecutive orders without an answer
 	refused            int       // refused connections since the last answer
 	runs               map[zinniasill.TaskID]lastRun
+	crashes            []crash
+	lastCrash          uint64
 	orphanStops        map[zinniasill.TaskID]time.Time
 	lastPruned         time.Time
 	lease              leaseState
@@ -266,7 +268,7 @@
 	}
 }
 
-// expireRuns deletes run numbers for which no caller will send another order.
+// expireRuns deletes what is kept about runs for which no caller will send another order.
 func (s *Supervisor) expireRuns(now time.Time) {
 	if now.Sub(s.lastPruned) < time.Second {
 		return
@@ -277,6 +279,7 @@
 			delete(s.runs, id)
 		}
 	}
+	s.expireCrashes(now)
 	for id, at := range s.orphanStops {
 		if now.Sub(at) > runRetention {
 			delete(s.orphanStops, id)
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -100,16 +100,24 @@
 	// RunReturned means that the task is not running and will not start. It may have run
 	// before it was stopped or lost.
 	RunReturned
+	// RunCrashed means that the endpoint crashed under a run that another entry, or an
+	// earlier incarnation of this one, had assigned.
+	RunCrashed
 )
 
 // TaskUpdate reports a change of state of one assigned task.
 type TaskUpdate struct {
-	// Assignment identifies the AssignedTask.
+	// Assignment identifies the AssignedTask, unless the state is RunCrashed.
 	Assignment uint64            `cbor:"1,keyasint"`
 	State      RunState          `cbor:"2,keyasint"`
 	Reason     zinniasill.Reason `cbor:"3,keyasint,omitempty"`
 	// Ran is set with RunReturned if the task may have started.
 	Ran bool `cbor:"4,keyasint,omitempty"`
+	// Task is set with RunCrashed.
+	Task zinniasill.TaskID `cbor:"5,keyasint,omitzero"`
+	// Crash is above 0 if the endpoint crashed under the run. It numbers the crashes that
+	// this incarnation of the agent has seen.
+	Crash uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Priorities is the number of priorities that an EndpointLoad distinguishes. Lower
--- a/internal/directmodel/crash_test.go
+++ b/internal/directmodel/crash_test.go
@@ -82,18 +82,32 @@
 }
 
 // TestResentTaskCrashesEndpoints guards against a job that crashes an endpoint each time
-// that its caller sends it again, because no entry knows what happened at the other.
+// that its caller sends it again, because no entry knows what happened at the other or
+// before its own restart.
 func TestResentTaskCrashesEndpoints(t *testing.T) {
-	s := directmodel.New(directmodel.Config{Entries: 2, Agents: 11})
-	s.CrashesEndpoint = crashesByFirstTask("deadly")
-	s.Settle()
-	submissions := map[string]int{"deadly": 1}
-	submit(s, "deadly", 0, 4, submissions)
-	s.Run(40 * time.Second)
-	if crashes := s.CrashesBy("deadly"); crashes > maxCrashes {
-		t.Errorf("one task crashed %d endpoints in %d submissions, want at most %d", crashes, submissions["deadly"], maxCrashes)
+	tests := map[string]func(s *directmodel.Simulation){
+		"two entries": func(*directmodel.Simulation) {},
+		"restarting entries": func(s *directmodel.Simulation) {
+			for i := range 20 {
+				s.After(time.Duration(i)*900*time.Millisecond, func() { s.RestartEntry(i % 2) })
+			}
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 2, Agents: 11})
+			s.CrashesEndpoint = crashesByFirstTask("deadly")
+			s.Settle()
+			disturb(s)
+			submissions := map[string]int{"deadly": 1}
+			submit(s, "deadly", 0, 4, submissions)
+			s.Run(40 * time.Second)
+			if crashes := s.CrashesBy("deadly"); crashes > maxCrashes {
+				t.Errorf("one task crashed %d endpoints in %d submissions, want at most %d", crashes, submissions["deadly"], maxCrashes)
+			}
+			noViolations(t, s)
+		})
 	}
-	noViolations(t, s)
 }
 
 // TestJobFailedWithoutCrash guards against failing a job although no endpoint has crashed
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -24,7 +24,7 @@
 	length := time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond
 	endpoint := s.Agents[agent].Endpoint
 	switch rapid.SampledFrom([]string{
-		"partition", "one-way", "freeze-agent", "kill-agent", "kill-entry", "freeze-entry", "crash", "unanswered",
+		"partition", "one-way", "freeze-agent", "kill-agent", "kill-entry", "freeze-entry", "crash", "crash-refusing", "unanswered",
 		"mostly-unanswered", "reset", "slow", "fail", "hang", "drain", "unresponsive",
 	}).Draw(t, "fault") {
 	case "partition":
@@ -45,6 +45,8 @@
 		s.After(length, func() { s.FreezeEntry(entry, false) })
 	case "crash":
 		endpoint.Restart()
+	case "crash-refusing":
+		endpoint.Crash(length)
 	case "unanswered":
 		endpoint.Faults.ExecutionDelay = rapid.SampledFrom([]time.Duration{time.Millisecond, 2 * time.Second}).Draw(t, "late")
 		count := 0
@@ -89,8 +91,9 @@
 }
 
 // TestRandomFaults guards against concurrent runs of one task, refusals as not run of
-// jobs that have run, and jobs without an answer, while faults of all kinds overlap. A
-// caller without an answer resends its job through another entry, up to 10 submissions.
+// jobs that have run, tasks that crash endpoint after endpoint, and jobs without an answer,
+// while faults of all kinds overlap. A caller without an answer resends its job through
+// another entry, up to 10 submissions.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := directmodel.New(directmodel.Config{Entries: 2, Agents: 3})
@@ -99,12 +102,15 @@
 		}
 		s.Settle()
 		jobs := map[string]int{}
+		crashing := map[string]bool{}
+		s.CrashesEndpoint = func(task zinniasill.TaskID) bool { return task.Index == 0 && crashing[task.Job] }
 		for i := range 40 {
 			if rapid.IntRange(0, 2).Draw(t, "step") == 0 {
 				injectFault(t, s)
 			}
 			id := fmt.Sprintf("job-%d", i)
 			jobs[id] = 1
+			crashing[id] = rapid.IntRange(0, 19).Draw(t, "crashing") == 0
 			submit(s, id, i%2, rapid.IntRange(1, 6).Draw(t, "tasks"), jobs)
 			s.Run(time.Duration(rapid.IntRange(5, 150).Draw(t, "pause")) * time.Millisecond)
 		}
