Return queued tasks that a shrunk endpoint cannot run

In the model a job whose task was queued when the capacity of its endpoint shrank below it got no answer at all, and the agent started nothing that came after.

Cause: a queued task was compared with the capacity of its endpoint only when it arrived; the head of the queue then waited for room that could not come. Class: a decision was not taken again after its input had changed. The entry had the same gap: a waiting task that no endpoint could run any more waited until it was overdue.

An entry aborts a waiting job that fits no endpoint, even an idle one. LIMIT itself held: starts are compared with the newest announced capacity, and what is being stopped counts.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -103,14 +103,16 @@
 
 func (c *candidate) fits(t *task) bool {
 	step := t.job.Steps[t.step]
-	load := c.agent.load
+	return t.suits(c.agent.load) && (step.PerEndpoint <= 0 || c.count(t) < step.PerEndpoint)
+}
+
+// suits reports whether an endpoint could run the task if it were idle.
+func (t *task) suits(load message.EndpointLoad) bool {
+	step := t.job.Steps[t.step]
 	if load.Kind != t.job.Kind || !step.Need.Within(load.Capacity) {
 		return false
 	}
-	if step.Label != "" && !slices.Contains(load.Labels, step.Label) {
-		return false
-	}
-	return step.PerEndpoint <= 0 || c.count(t) < step.PerEndpoint
+	return step.Label == "" || slices.Contains(load.Labels, step.Label)
 }
 
 // count returns the number of tasks of t's step that are at the agent or placed there.
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -158,6 +158,7 @@
 	candidates := d.candidates(now)
 	operations := len(d.sortedAgents) + len(d.unplaced)*sortOperations
 	var placements []placement
+	var unservable []*task
 	kept := d.unplaced[:0]
 	full := false
 	for _, t := range d.unplaced {
@@ -165,6 +166,9 @@
 		if !full {
 			best = choose(t, candidates)
 			operations += len(candidates)
+			if best == nil && d.unservable(t) {
+				unservable = append(unservable, t)
+			}
 		}
 		if best == nil || best.wait(t) > maxQueuedWait {
 			// Tasks behind one that does not fit wait too, so that small tasks do not
@@ -179,6 +183,17 @@
 	d.unplaced = kept
 	d.nextPlacement = now.Add(time.Duration(operations) * pausePerOperation)
 	d.assign(now, placements)
+	for _, t := range unservable {
+		d.abort(now, t.job, zinniasill.ReasonNoEndpoint)
+	}
+}
+
+// unservable reports whether no agent in use has an endpoint that could run the task even
+// if it were idle. An agent that has not reported yet may have one.
+func (d *Dispatcher) unservable(t *task) bool {
+	return !slices.ContainsFunc(d.sortedAgents, func(a *agent) bool {
+		return a.inUse && (a.incarnation == 0 || t.suits(a.load))
+	})
 }
 
 // abortOverdue removes tasks that no longer wait from unplaced, and aborts the jobs
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -17,6 +17,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"zinniasill"
@@ -181,15 +182,31 @@
 		s.record("endpoint-announced", slog.Bool("draining", announcement.Draining),
 			slog.Uint64("sequence", announcement.Sequence), slog.String("life", announcement.Incarnation.ID))
 	}
+	if !s.present || announcement.Draining != s.announced.Draining || announcement.Capacity != s.announced.Capacity {
+		s.loadVersion++
+	}
 	s.announced = announcement
 	s.present = true
 	s.lastContact = now
 	s.syncAnnouncedClock(now, announcement.Clock)
+	s.returnTooLarge()
 	if announcement.Draining {
 		s.returnQueue(zinniasill.ReasonLeaving)
 	}
 }
 
+// returnTooLarge returns the queued tasks that exceed the whole capacity of the endpoint,
+// which may shrink while it runs.
+func (s *Supervisor) returnTooLarge() {
+	s.queue = slices.DeleteFunc(s.queue, func(t *task) bool {
+		if t.need.Within(s.announced.Capacity) {
+			return false
+		}
+		s.close(t, eventDrop, message.RunReturned, zinniasill.ReasonTooLarge)
+		return true
+	})
+}
+
 // replaceIncarnation switches to a new incarnation of the endpoint. No run of the
 // previous one survives in it.
 func (s *Supervisor) replaceIncarnation(now time.Time, announcement Announcement) {
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -29,18 +29,22 @@
 // stopTime is the time that stopping a run takes.
 const stopTime = 20 * time.Millisecond
 
-// Endpoint is a fake endpoint that rejects starts beyond its capacity.
+// Endpoint is a fake endpoint that rejects starts beyond its capacity, or records them as
+// violations if it is Unguarded.
 type Endpoint struct {
 	Incarnation zinniasill.EndpointIncarnation
 	Kind        zinniasill.Kind
 	Capacity    resource.Amount
 	Faults      Faults
 	Draining    bool
+	// Unguarded makes the endpoint start whatever it is told to.
+	Unguarded bool
 	// ClockRate is the rate of the endpoint's clock, 1 if 0.
 	ClockRate float64
 
 	sim            *Simulation
 	down           bool // crashed and not started again
+	announced      []announcedCapacity
 	clockStart     time.Time
 	sequence       uint64
 	deadline       time.Duration // of the lease, on the endpoint's clock
@@ -90,9 +94,34 @@
 	e.lastCompletion = 0
 }
 
+// announcedCapacity is a capacity that the endpoint has announced.
+type announcedCapacity struct {
+	capacity resource.Amount
+	at       time.Time
+}
+
+// capacityLag is the time for which a larger capacity that was announced before still
+// counts: the time bound of the platform's rules and one announcement.
+const capacityLag = 3*time.Second + announceInterval
+
+// checkCapacity records a violation if the use exceeds each capacity that still counts.
+func (e *Endpoint) checkCapacity(used resource.Amount) {
+	if used.Within(e.Capacity) {
+		return
+	}
+	for i, announced := range e.announced {
+		current := i == len(e.announced)-1 || e.sim.Now.Sub(e.announced[i+1].at) <= capacityLag
+		if current && used.Within(announced.capacity) {
+			return
+		}
+	}
+	e.sim.recordViolation("endpoint %s runs %d thousandths of a core, more than its capacity", e.Incarnation.ID, used.MilliCPU)
+}
+
 // announcement returns the next announcement of the endpoint.
 func (e *Endpoint) announcement() executor.Announcement {
 	e.sequence++
+	e.announced = append(e.announced, announcedCapacity{capacity: e.Capacity, at: e.sim.Now})
 	return executor.Announcement{
 		Incarnation: e.Incarnation, Sequence: e.sequence, Kind: e.Kind, Capacity: e.Capacity,
 		Draining: e.Draining, Clock: e.clock(),
@@ -196,9 +225,12 @@
 		return zinniasill.OrderOldRun
 	case order.Deadline < e.clock():
 		return zinniasill.OrderLate
-	case !e.used().Add(spec.need).Within(e.Capacity):
+	case !e.Unguarded && !e.used().Add(spec.need).Within(e.Capacity):
 		return zinniasill.OrderNoCapacity
 	}
+	if e.Unguarded {
+		e.checkCapacity(e.used().Add(spec.need))
+	}
 	e.fence = order.Fence
 	e.extend(order.Deadline)
 	e.Starts++
