Limit the runs of one task that are lost without a known cause

In the model a task that takes its agent along with each endpoint was started at host after host (the users' limit of three starts after three crashes was passed), because no agent is left to tell of the crash.

Cause: runs that are lost with their agent counted as returns, of which a task may have eight. The same cause as that of the crashes of endpoints, on the other path.

Change: a job is aborted (outcome unknown) once four attempts of one of its tasks may have run and were lost, whatever the reason. It is not shown as failed, because no crash is known.

Tests: directmodel.TestTaskCrashesHostAfterHost failed before (started 3 times after it had crashed 3 endpoints).

With a single entry, at most four hosts can go under one task.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -209,6 +209,7 @@
 	a.reset()
 	for _, t := range a.sortedTasks() {
 		t.job.mayHaveRun = true
+		t.lostRuns++
 		d.handleReturn(now, t, zinniasill.ReasonLeaseExpired)
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -32,9 +32,11 @@
 	index   uint32
 	attempt zinniasill.Attempt
 	// assignment is the number of the last assignment.
-	assignment       uint64
-	failures         int
-	returns          int
+	assignment uint64
+	failures   int
+	returns    int
+	// lostRuns counts the attempts that may have run and were returned or lost.
+	lostRuns         int
 	lastReturnReason zinniasill.Reason
 	done             bool
 	agent            *agent
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -14,6 +14,10 @@
 // maxReturns is how often one task is requeued after a return before its job is aborted.
 const maxReturns = 8
 
+// maxLostRuns is how many attempts of one task may be lost after a possible start before its
+// job is aborted. It limits the hosts that one task can crash without a trace of it.
+const maxLostRuns = 4
+
 // pausePerOperation is the pause after a placement pass for each operation in it.
 // Without the pause, an entry under overload, with many reporting agents and many
 // waiting tasks, would run a pass for each report and need more CPU time than it has. An
@@ -63,6 +67,9 @@
 		if update.Crash > 0 {
 			d.crashes.add(now, t.id(), c)
 		}
+		if update.Ran {
+			t.lostRuns++
+		}
 		d.handleReturn(now, t, update.Reason)
 	}
 }
@@ -104,7 +111,7 @@
 	switch {
 	case d.crashes.count(t.id()) >= maxCrashes:
 		d.finish(now, t.job, Failed, reason)
-	case t.returns > maxReturns:
+	case t.returns > maxReturns || t.lostRuns >= maxLostRuns:
 		d.abort(now, t.job, reason)
 	default:
 		d.requeue(t)
--- a/internal/directmodel/crash.go
+++ b/internal/directmodel/crash.go
@@ -1,6 +1,7 @@
 package directmodel
 
 import (
+	"slices"
 	"time"
 
 	"zinniasill"
@@ -61,10 +62,20 @@
 		if e.Incarnation == incarnation && !e.down && e.running[task] != nil {
 			record.crashes++
 			e.Crash(crashDowntime)
+			if s.CrashesHost {
+				s.crashAgent(e)
+			}
 		}
 	})
 }
 
+// crashAgent ends the agent of an endpoint, which starts again with the endpoint.
+func (s *Simulation) crashAgent(e *Endpoint) {
+	i := slices.IndexFunc(s.Agents, func(a *Agent) bool { return a.Endpoint == e })
+	s.KillAgent(i)
+	s.After(crashDowntime, func() { s.RestartAgent(i) })
+}
+
 // Crash ends the endpoint with all its runs. Connections are refused until it starts
 // again, as a new incarnation, after downtime.
 func (e *Endpoint) Crash(downtime time.Duration) {
--- a/internal/directmodel/crash_test.go
+++ b/internal/directmodel/crash_test.go
@@ -53,6 +53,22 @@
 	}
 }
 
+// TestTaskCrashesHostAfterHost guards against a task that crashes the agent along with each
+// endpoint that starts it, so that no agent can tell of the crash. The users' limit of
+// starts must hold, and the job must not be shown as failed.
+func TestTaskCrashesHostAfterHost(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 3, Agents: 11})
+	s.CrashesEndpoint = crashesByFirstTask("deadly")
+	s.CrashesHost = true
+	s.Settle()
+	s.Submit(0, directmodel.Job("deadly", 4, 5*time.Second))
+	s.Run(40 * time.Second)
+	if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Unknown {
+		t.Errorf("answers %+v, want one, unknown", s.Answers)
+	}
+	noViolations(t, s)
+}
+
 // TestBystandersOfCrash guards against failing jobs whose tasks only ran beside a task that
 // crashes its endpoints, and against placing them beside it again.
 func TestBystandersOfCrash(t *testing.T) {
--- a/internal/directmodel/simulation.go
+++ b/internal/directmodel/simulation.go
@@ -115,6 +115,8 @@
 	Drop func(from, to zinniasill.NodeID) bool
 	// CrashesEndpoint, if set, reports whether a task crashes each endpoint that starts it.
 	CrashesEndpoint func(task zinniasill.TaskID) bool
+	// CrashesHost extends these crashes to the agent of the endpoint.
+	CrashesHost bool
 	// Sent, if set, is called with each message that a process sends.
 	Sent func(from zinniasill.NodeID, env message.Envelope)
 
