Wait longer for the answers of an endpoint that is slow to answer

In the model the running tasks of an endpoint that answers each call after 100 ms, for 2 s, were started again elsewhere (8 starts of 4 tasks, no answer), although it had carried out every renewal.

Cause: a renewal was given up 30 ms after its wait, however many before it had been too; only starts and stops teach a longer timeout. After 1.07 s the runs counted as lost.

Change: the timeout of a renewal doubles with each failure in a row, up to 300 ms. Because an attempt may now take longer, the end of the lease is looked at on ticks too.

Tests: directmodel.TestSlowAnswersKeepRuns, with answers after 100 and 200 ms, failed before.

An endpoint whose answers take over 300 ms for a second still loses its runs, because its lease has then ended.

--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -53,11 +53,28 @@
 		Renew: &zinniasill.RenewOrder{
 			Incarnation: s.incarnation, Fence: s.fence, Cursor: s.lease.cursor, Wait: wait, Deadline: deadline,
 		},
-		Timeout: wait + s.responses.timeout(),
+		Timeout: wait + s.renewalTimeout(),
 		poll:    poll,
 	}, nil)
 }
 
+// maxRenewalTimeout is the longest timeout of a renewal without a wait. An endpoint that
+// takes this long for each answer can still be heard within one lease.
+const maxRenewalTimeout = 300 * time.Millisecond
+
+// renewalTimeout returns the timeout of a renewal. It doubles with each failure, so that an
+// endpoint whose answers are late is heard before its lease ends.
+func (s *Supervisor) renewalTimeout() time.Duration {
+	timeout := s.responses.timeout()
+	for range s.lease.failures {
+		if timeout >= maxRenewalTimeout {
+			break
+		}
+		timeout *= 2
+	}
+	return min(timeout, maxRenewalTimeout)
+}
+
 // mayExtendLease reports whether renewals extend the lease. A renewal without an answer may
 // still be carried out, so after a failure, renewals only ask for an answer: the lease must
 // end if none arrives. Runs that another process started are left to expire.
@@ -119,8 +136,7 @@
 	s.advance(now)
 }
 
-// handleRenewalFailure handles a renewal without a usable answer. Once the lease has
-// expired, all runs at the endpoint have ended.
+// handleRenewalFailure handles a renewal without a usable answer.
 func (s *Supervisor) handleRenewalFailure(now, issued time.Time, outcome zinniasill.OrderOutcome) {
 	s.lease.failures++
 	s.record("hold-failed", slog.String("outcome", string(outcome)), slog.Int("failed", s.lease.failures),
@@ -131,7 +147,13 @@
 		pause = min(time.Duration(s.lease.failures)*pollInterval, unreachableRetryDelay)
 	}
 	s.lease.retryAt = now.Add(pause)
-	if now.Sub(s.lastExtension()) > leaseExpiryTimeout {
+	s.expireLease(now)
+}
+
+// expireLease closes all tasks if renewals fail and the lease has expired, because all runs
+// at the endpoint have ended then.
+func (s *Supervisor) expireLease(now time.Time) {
+	if s.lease.failures > 0 && now.Sub(s.lastExtension()) > leaseExpiryTimeout {
 		s.loseRuns(now, s.silenceReason(), "lease-expired")
 	}
 }
@@ -280,10 +302,11 @@
 // recorded inputs tell a crash from a silence: connections are refused only where nothing
 // listens, and a run that caused a crash was often ordered just before the last answer.
 func (s *Supervisor) loseRuns(now time.Time, reason zinniasill.Reason, cause string) {
-	if len(s.active) > 0 {
-		s.record("runs-lost", slog.String("reason", cause), slog.Int("runs", len(s.active)),
-			slog.Duration("silent", now.Sub(s.lastContact)), slog.Int("refused", s.refused))
+	if len(s.active) == 0 {
+		return
 	}
+	s.record("runs-lost", slog.String("reason", cause), slog.Int("runs", len(s.active)),
+		slog.Duration("silent", now.Sub(s.lastContact)), slog.Int("refused", s.refused))
 	if s.announced.Draining {
 		reason = zinniasill.ReasonEndpointLeft
 	}
--- a/core/executor/tick.go
+++ b/core/executor/tick.go
@@ -10,6 +10,7 @@
 		s.reporting = true
 	}
 	s.expireSessions(now)
+	s.expireLease(now)
 	s.expireRuns(now)
 	s.advance(now)
 }
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -22,6 +22,8 @@
 	Slow float64
 	// Hang prevents tasks from completing, Fail makes them complete as failed.
 	Hang, Fail bool
+	// AnswerDelay delays the answers to all calls.
+	AnswerDelay time.Duration
 	// Unresponsive makes the endpoint answer no calls and announce nothing.
 	Unresponsive bool
 }
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -265,3 +265,28 @@
 		})
 	}
 }
+
+// TestSlowAnswersKeepRuns guards against an endpoint that answers all calls, but slowly for
+// a while, and whose running tasks are given up.
+func TestSlowAnswersKeepRuns(t *testing.T) {
+	const tasks = 4
+	for _, late := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+			s.Settle()
+			s.Submit(0, directmodel.Job("a", tasks, 4*time.Second))
+			s.Run(300 * time.Millisecond)
+			for _, a := range s.Agents {
+				faults := &a.Endpoint.Faults
+				faults.AnswerDelay = late
+				s.After(2*time.Second, func() { faults.AnswerDelay = 0 })
+			}
+			s.Run(6 * time.Second)
+			starts := s.Agents[0].Endpoint.Starts + s.Agents[1].Endpoint.Starts
+			if starts != tasks || len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
+				t.Errorf("%d starts of %d tasks, answers %+v", starts, tasks, s.Answers)
+			}
+			noViolations(t, s)
+		})
+	}
+}
--- a/internal/directmodel/link.go
+++ b/internal/directmodel/link.go
@@ -55,12 +55,24 @@
 			return
 		}
 		result := e.execute(call)
-		s.After(callDelay, func() {
+		s.answer(a, call, func() {
 			s.runOnAgent(a, incarnation, func() { a.Answered(a.now(s), call.ID, result) })
 		})
 	})
 }
 
+// answer delivers the answer of an endpoint to a call, or none if it would be later than the
+// timeout of the call.
+func (s *Simulation) answer(a *Agent, call executor.Call, deliver func()) {
+	late := a.Endpoint.Faults.AnswerDelay
+	if late <= call.Timeout {
+		s.After(callDelay+late, deliver)
+		return
+	}
+	incarnation := a.incarnation
+	s.After(call.Timeout, func() { s.reportOutcome(a, incarnation, call, zinniasill.OrderNoAnswer) })
+}
+
 // reportOutcome reports to the agent that a call got no answer of the endpoint.
 func (s *Simulation) reportOutcome(
 	a *Agent, incarnation zinniasill.Incarnation, call executor.Call, outcome zinniasill.OrderOutcome,
@@ -94,7 +106,7 @@
 			continue
 		}
 		result := a.Endpoint.renewLease(*renewal.call.Renew)
-		s.After(callDelay, func() {
+		s.answer(a, renewal.call, func() {
 			s.runOnAgent(a, incarnation, func() { a.Renewed(a.now(s), renewal.call.ID, result) })
 		})
 	}
