Order leaves and announcements of an endpoint by its incarnation

Found while looking for what operators of similar systems told: a server that had left was in use again.

Cause: announcements and leaves come on connections of their own and may overtake each other, and a leave names only an id, which the next incarnation may have too. A late announcement brought an endpoint that had left back into use; a late leave of a former incarnation closed the runs of the present one while they ran on, and their entry placed them again (two runs of one task).

Change: once a draining endpoint has left, only a newer incarnation counts. A leave of an endpoint that is not draining stops new work until its next announcement, and leaves the runs to their lease.

An agent that has just started knows nothing of a leave before; a late announcement then costs it orders that nobody answers.

--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -106,6 +106,7 @@
 	incarnation zinniasill.EndpointIncarnation
 	announced   Announcement
 	present     bool // the endpoint has announced itself and has not left
+	left        bool // this incarnation has shut down
 	lastContact time.Time
 	clock       time.Duration // reading of the endpoint's clock at clockAt
 	clockAt     time.Time
@@ -164,8 +165,8 @@
 }
 
 // Announce handles an announcement from the endpoint. Announcements of an earlier
-// incarnation, which a partition may have delayed, and outdated ones of the current
-// incarnation are ignored.
+// incarnation, which a partition may have delayed, outdated ones of the current
+// incarnation, and those that arrive after it has left are ignored.
 func (s *Supervisor) Announce(now time.Time, announcement Announcement) {
 	s.markStarted(now)
 	if announcement.Incarnation != s.incarnation {
@@ -175,7 +176,7 @@
 			return
 		}
 		s.replaceIncarnation(now, announcement)
-	} else if announcement.Sequence <= s.announced.Sequence && s.announced.Sequence != 0 {
+	} else if s.left || announcement.Sequence <= s.announced.Sequence && s.announced.Sequence != 0 {
 		return
 	}
 	if announcement.Draining != s.announced.Draining || !s.present {
@@ -216,6 +217,7 @@
 	s.clock = 0
 	s.lease = leaseState{}
 	s.adopted = false
+	s.left = false
 	s.unanswered = 0
 	s.refused = 0
 	s.fence = uint64(announcement.Clock / time.Millisecond)
@@ -223,13 +225,24 @@
 	clear(s.runs)
 }
 
-// EndpointLeft handles the notification that an endpoint has shut down.
+// EndpointLeft handles the notification that an endpoint has shut down. It names no
+// incarnation. If the current one is not draining, the notification may be a delayed one of
+// an earlier incarnation: the endpoint then gets no work until it announces itself again, and
+// its runs end only with their lease.
 func (s *Supervisor) EndpointLeft(now time.Time, id string) {
 	s.markStarted(now)
-	if id == s.incarnation.ID {
-		s.record("endpoint-left", slog.String("life", id))
-		s.loseEndpoint(now, zinniasill.ReasonEndpointLeft, "endpoint-left")
+	if id != s.incarnation.ID {
+		return
+	}
+	s.record("endpoint-left", slog.String("life", id), slog.Bool("draining", s.announced.Draining))
+	if !s.announced.Draining {
+		s.announced.Draining = true
+		s.loadVersion++
+		s.returnQueue(zinniasill.ReasonLeaving)
+		return
 	}
+	s.left = true
+	s.loseEndpoint(now, zinniasill.ReasonEndpointLeft, "endpoint-left")
 }
 
 // loseEndpoint closes all tasks and treats the endpoint as absent until its next
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -290,3 +290,45 @@
 		})
 	}
 }
+
+// TestAnnouncementAfterLeaving guards against an endpoint that has left and gets work again
+// because one of its announcements was held up on the way.
+func TestAnnouncementAfterLeaving(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+	s.Settle()
+	left := s.Agents[0]
+	left.Endpoint.Draining = true
+	s.Run(1500 * time.Millisecond)
+	left.EndpointLeft(s.Now, left.Endpoint.Incarnation.ID)
+	before := left.Endpoint.Starts
+	// The model's endpoint goes on announcing itself after it has left.
+	left.Endpoint.Draining = false
+	s.Run(1200 * time.Millisecond)
+	load(s, 12*time.Millisecond, time.Second)
+	if starts := left.Endpoint.Starts - before; starts > 0 {
+		t.Errorf("%d tasks started at an endpoint that has left", starts)
+	}
+	left.Endpoint.Restart()
+	s.Run(1500 * time.Millisecond)
+	load(s, 12*time.Millisecond, time.Second)
+	if left.Endpoint.Starts == before {
+		t.Error("no task started at the endpoint's next incarnation")
+	}
+	noViolations(t, s)
+}
+
+// TestLeaveOfFormerIncarnation guards against a second run of a task because an endpoint's
+// message that it leaves was held up, until the next incarnation ran tasks under the same
+// id.
+func TestLeaveOfFormerIncarnation(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+	s.Settle()
+	s.Submit(0, directmodel.Job("a", 6, 2*time.Second))
+	s.Run(100 * time.Millisecond)
+	s.Agents[0].EndpointLeft(s.Now, s.Agents[0].Endpoint.Incarnation.ID)
+	s.Run(5 * time.Second)
+	if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
+		t.Errorf("answers %+v, want one, completed", s.Answers)
+	}
+	noViolations(t, s)
+}
