Do not fail jobs that only ran beside a task that crashes its endpoints

Cause: the limit of two crashes counted each crash alike for all the runs that it ended, about eleven.

Change: agents report the age of each run at the crash, and a task is blamed once two of its runs crashed at the same age (within 50 ms), or after four crashes at any.

Tests: directmodel.TestBystanderOfTwoCrashes failed before (answers failed); the tests of crashing tasks pass as before.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -9,8 +9,12 @@
 
 const (
 	// maxCrashes is the number of endpoints that have crashed under one task at which its
-	// job fails. The first may have crashed for another reason than the task.
-	maxCrashes = 2
+	// job fails in any case.
+	maxCrashes = 4
+	// sameAgeTolerance is the difference up to which two runs count as crashed at the same
+	// age. A task that crashes its endpoints does so at the same point of each run; one
+	// that only ran beside it was hit at any point.
+	sameAgeTolerance = 50 * time.Millisecond
 	// crashRetention is how long a crash is remembered. It covers several times the delay
 	// after which a caller without an answer sends its job again.
 	crashRetention = 30 * time.Second
@@ -25,13 +29,17 @@
 type taskCrashes struct {
 	crashes []crash
 	lastAt  time.Time
+	// sameAge is set once two runs have crashed at the same age.
+	sameAge bool
 }
 
-// crash identifies a crash of an agent's endpoint by the number that the agent gave it.
+// crash is a crash of an agent's endpoint, identified by the number that the agent gave it.
 type crash struct {
 	agent       zinniasill.NodeID
 	incarnation zinniasill.Incarnation
 	number      uint64
+	// age is the age of the run under which the endpoint crashed.
+	age time.Duration
 }
 
 // add counts a crash under a task. Reports of the same crash count once.
@@ -40,7 +48,23 @@
 	if slices.Contains(known.crashes, c) {
 		return
 	}
-	l[task] = taskCrashes{crashes: append(known.crashes, c), lastAt: now}
+	for _, other := range known.crashes {
+		known.sameAge = known.sameAge || (c.age-other.age).Abs() <= sameAgeTolerance
+	}
+	known.crashes = append(known.crashes, c)
+	known.lastAt = now
+	l[task] = known
+}
+
+// blamed reports whether a task is taken to crash its endpoints.
+func (l crashLog) blamed(task zinniasill.TaskID) bool {
+	known := l[task]
+	return known.sameAge || len(known.crashes) >= maxCrashes
+}
+
+// blamesAny reports whether a task of the job is taken to crash its endpoints.
+func (l crashLog) blamesAny(j *job) bool {
+	return len(l) > 0 && slices.ContainsFunc(j.tasks, func(t *task) bool { return l.blamed(t.id()) })
 }
 
 func (l crashLog) count(task zinniasill.TaskID) int {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -140,7 +140,7 @@
 		return
 	}
 	j := newJob(now, request, spec)
-	if d.crashes.most(j) >= maxCrashes {
+	if d.crashes.blamesAny(j) {
 		d.finish(now, j, Failed, zinniasill.ReasonEndpointLost)
 		return
 	}
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -29,7 +29,7 @@
 
 // update handles an agent's update for one task.
 func (d *Dispatcher) update(now time.Time, a *agent, update message.TaskUpdate) {
-	c := crash{agent: a.id, incarnation: a.incarnation, number: update.Crash}
+	c := crash{agent: a.id, incarnation: a.incarnation, number: update.Crash, age: update.Age}
 	t := a.findTask(update)
 	if t == nil {
 		if update.State == message.RunCrashed {
@@ -109,7 +109,7 @@
 	t.returns++
 	t.lastReturnReason = reason
 	switch {
-	case d.crashes.count(t.id()) >= maxCrashes:
+	case d.crashes.blamed(t.id()):
 		d.finish(now, t.job, Failed, reason)
 	case t.returns > maxReturns || t.lostRuns >= maxLostRuns:
 		d.abort(now, t.job, reason)
--- a/core/executor/crashes.go
+++ b/core/executor/crashes.go
@@ -16,17 +16,18 @@
 type crash struct {
 	task   zinniasill.TaskID
 	number uint64
+	age    time.Duration
 	at     time.Time
 }
 
 func (c crash) update() message.TaskUpdate {
-	return message.TaskUpdate{State: message.RunCrashed, Task: c.task, Crash: c.number}
+	return message.TaskUpdate{State: message.RunCrashed, Task: c.task, Crash: c.number, Age: c.age}
 }
 
 // reportCrash reports a run under which the endpoint crashed to all entries but its owner:
 // the caller may send the job again to any of them.
 func (s *Supervisor) reportCrash(now time.Time, t *task) {
-	c := crash{task: t.id, number: t.crash, at: now}
+	c := crash{task: t.id, number: t.crash, age: t.crashAge, at: now}
 	s.crashes = append(s.crashes, c)
 	for _, incarnation := range s.sortedSessions() {
 		if sess := s.sessions[incarnation]; sess != t.owner && !sess.superseded {
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -314,8 +314,9 @@
 		s.lastCrash++
 	}
 	for _, t := range s.sortedActive() {
+		age := max(s.lastContact.Sub(t.orderedAt), 0)
 		s.record("run-lost", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
-			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", s.lastContact.Sub(t.orderedAt)))
+			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", age))
 		if !t.ran {
 			// The start was not answered and may have been carried out.
 			t.ran = true
@@ -324,6 +325,7 @@
 		}
 		if reason == zinniasill.ReasonEndpointLost {
 			t.crash = s.lastCrash
+			t.crashAge = age
 			s.reportCrash(now, t)
 		}
 		s.close(t, eventDrop, message.RunReturned, reason)
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -33,6 +33,7 @@
 	startedAt     time.Time
 	ran           bool
 	crash         uint64 // number of the crash that ended the run, 0 if none did
+	crashAge      time.Duration
 	staleRetries  int
 	// reason is the reason for stopping the run. lastStop is the time of the last stop
 	// order, stopPending is set while one is unanswered and stopAccepted once one was
@@ -184,7 +185,7 @@
 	}
 	t.apply(event)
 	t.owner.out.Push(message.TaskUpdate{
-		Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran, Crash: t.crash,
+		Assignment: t.assignment, State: state, Reason: reason, Ran: t.ran, Crash: t.crash, Age: t.crashAge,
 	})
 	s.record("task-closed", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
 		slog.Int("state", int(state)), slog.String("reason", string(reason)), slog.Bool("ran", t.ran))
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -118,6 +118,9 @@
 	// Crash is above 0 if the endpoint crashed under the run. It numbers the crashes that
 	// this incarnation of the agent has seen.
 	Crash uint64 `cbor:"6,keyasint,omitempty"`
+	// Age is set with Crash. It is the time from the order to start the run to the
+	// endpoint's last answer.
+	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Priorities is the number of priorities that an EndpointLoad distinguishes. Lower
--- a/internal/directmodel/crash_test.go
+++ b/internal/directmodel/crash_test.go
@@ -176,3 +176,24 @@
 		})
 	}
 }
+
+// TestBystanderOfTwoCrashes guards against failing a job whose task only ran, for longer or
+// shorter, at two endpoints that other tasks crashed.
+func TestBystanderOfTwoCrashes(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 4})
+	s.Settle()
+	s.Submit(0, directmodel.Job("bystander", 1, 3*time.Second))
+	for _, age := range []time.Duration{900 * time.Millisecond, 1500 * time.Millisecond} {
+		s.Run(age)
+		for _, a := range s.Agents {
+			if a.Endpoint.Running() > 0 {
+				a.Endpoint.Crash(2 * time.Second)
+			}
+		}
+	}
+	s.Run(8 * time.Second)
+	if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
+		t.Errorf("answers %+v, want one, completed", s.Answers)
+	}
+	noViolations(t, s)
+}
