Send probes to a slow endpoint without waiting for the former

Change: after a failed renewal, probes are sent at the former pace, each waits up to 300 ms for its answer, and any answer counts.

Tests: TestSlowAnswersKeepRuns passes as before. TestResettingEndpoint failed on the second form (245 ms, limit 156 ms: the pause after the last probe held up the first renewal) and passes now.

--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -21,6 +21,8 @@
 	Timeout time.Duration
 	// poll marks a renewal that is sent only to read the lists at once.
 	poll bool
+	// probe marks a renewal that asks for an answer after a failed one.
+	probe bool
 }
 
 // Bounds of the timeout of an order. Orders are answered on the agent's own machine,
--- a/core/executor/crashes.go
+++ b/core/executor/crashes.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -24,6 +25,50 @@
 	return message.TaskUpdate{State: message.RunCrashed, Task: c.task, Crash: c.number, Age: c.age}
 }
 
+// loseRuns closes all tasks at an endpoint whose incarnation or lease has ended. The
+// recorded inputs tell a crash from a silence: connections are refused only where nothing
+// listens, and a run that caused a crash was often ordered just before the last answer.
+func (s *Supervisor) loseRuns(now time.Time, reason zinniasill.Reason, cause string) {
+	if len(s.active) == 0 {
+		return
+	}
+	s.record("runs-lost", slog.String("reason", cause), slog.Int("runs", len(s.active)),
+		slog.Duration("silent", now.Sub(s.lastContact)), slog.Int("refused", s.refused))
+	if s.announced.Draining {
+		reason = zinniasill.ReasonEndpointLeft
+	}
+	if reason == zinniasill.ReasonEndpointLost {
+		s.lastCrash++
+	}
+	for _, t := range s.sortedActive() {
+		age := max(s.lastContact.Sub(t.orderedAt), 0)
+		s.record("run-lost", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
+			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", age))
+		if !t.ran {
+			// The start was not answered and may have been carried out.
+			t.ran = true
+			s.close(t, eventDrop, message.RunReturned, zinniasill.ReasonOutcomeUnknown)
+			continue
+		}
+		if reason == zinniasill.ReasonEndpointLost {
+			t.crash = s.lastCrash
+			t.crashAge = age
+			s.reportCrash(now, t)
+		}
+		s.close(t, eventDrop, message.RunReturned, reason)
+	}
+}
+
+// silenceReason returns the reason for which runs are lost after a silence. Where
+// connections are refused nothing listens any more; otherwise the endpoint may have run on
+// until its lease expired.
+func (s *Supervisor) silenceReason() zinniasill.Reason {
+	if s.refused > 0 {
+		return zinniasill.ReasonEndpointLost
+	}
+	return zinniasill.ReasonLeaseExpired
+}
+
 // reportCrash reports a run under which the endpoint crashed to all entries but its owner:
 // the caller may send the job again to any of them.
 func (s *Supervisor) reportCrash(now time.Time, t *task) {
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"zinniasill"
-	"zinniasill/core/message"
 )
 
 // leaseState is the state of the endpoint's lease and of its list of completions.
@@ -29,50 +28,51 @@
 // renewLease sends a renewal if there are runs to cover or completions to fetch or
 // acknowledge.
 func (s *Supervisor) renewLease(now time.Time) {
-	if !s.present || s.lease.renewing || now.Before(s.lease.retryAt) || s.clock == 0 {
+	if !s.present || now.Before(s.lease.retryAt) || s.clock == 0 {
 		return
 	}
 	busy := len(s.active) > 0
 	if s.adopted && !busy && !s.suspect() && s.lease.ackedCursor == s.lease.cursor {
 		return
 	}
+	if s.lease.failures > 0 {
+		s.probe(now)
+		return
+	}
+	if s.lease.renewing {
+		return
+	}
 	wait := time.Duration(0)
 	if s.mayExtendLease() && busy && !s.suspect() {
 		wait = renewalWait
 	}
 	s.lease.renewing = true
-	s.issueRenewal(now, wait, false)
+	s.issueRenewal(now, Call{Timeout: wait + s.responses.timeout()}, wait)
+}
+
+// probeTimeout is the timeout of a probe. An endpoint that takes this long for each answer
+// can still be heard before its lease ends.
+const probeTimeout = 300 * time.Millisecond
+
+// probe asks for an answer after a failed renewal. Probes follow one another without waiting
+// for the answer to the former, since that may be lost or only late.
+func (s *Supervisor) probe(now time.Time) {
+	pause := min(time.Duration(s.lease.failures)*pollInterval, unreachableRetryDelay)
+	s.lease.failures++
+	s.lease.retryAt = now.Add(s.responses.timeout() + pause)
+	s.issueRenewal(now, Call{Timeout: probeTimeout, probe: true}, 0)
 }
 
-func (s *Supervisor) issueRenewal(now time.Time, wait time.Duration, poll bool) {
+// issueRenewal issues a call with a renewal that waits for a completion for up to wait.
+func (s *Supervisor) issueRenewal(now time.Time, call Call, wait time.Duration) {
 	deadline := time.Duration(0)
 	if s.mayExtendLease() {
 		deadline = s.endpointClock(now) + EndpointLease
 	}
-	s.issue(now, Call{
-		Renew: &zinniasill.RenewOrder{
-			Incarnation: s.incarnation, Fence: s.fence, Cursor: s.lease.cursor, Wait: wait, Deadline: deadline,
-		},
-		Timeout: wait + s.renewalTimeout(),
-		poll:    poll,
-	}, nil)
-}
-
-// maxRenewalTimeout is the longest timeout of a renewal without a wait. An endpoint that
-// takes this long for each answer can still be heard within one lease.
-const maxRenewalTimeout = 300 * time.Millisecond
-
-// renewalTimeout returns the timeout of a renewal. It doubles with each failure, so that an
-// endpoint whose answers are late is heard before its lease ends.
-func (s *Supervisor) renewalTimeout() time.Duration {
-	timeout := s.responses.timeout()
-	for range s.lease.failures {
-		if timeout >= maxRenewalTimeout {
-			break
-		}
-		timeout *= 2
+	call.Renew = &zinniasill.RenewOrder{
+		Incarnation: s.incarnation, Fence: s.fence, Cursor: s.lease.cursor, Wait: wait, Deadline: deadline,
 	}
-	return min(timeout, maxRenewalTimeout)
+	s.issue(now, call, nil)
 }
 
 // mayExtendLease reports whether renewals extend the lease. A renewal without an answer may
@@ -91,7 +91,7 @@
 	}
 	s.lease.polling = true
 	s.lease.lastPoll = now
-	s.issueRenewal(now, 0, true)
+	s.issueRenewal(now, Call{Timeout: s.responses.timeout(), poll: true}, 0)
 }
 
 // needsPoll reports whether the state of some run is to be read from the lists.
@@ -114,9 +114,10 @@
 	if pending.incarnation != s.incarnation {
 		return
 	}
-	if pending.call.poll {
+	switch {
+	case pending.call.poll:
 		s.lease.polling = false
-	} else {
+	case !pending.call.probe:
 		s.lease.renewing = false
 	}
 	s.noteExtension(pending, result.Outcome)
@@ -125,11 +126,18 @@
 	case zinniasill.OrderAccepted:
 		s.lease.ackedCursor = max(s.lease.ackedCursor, pending.call.Renew.Cursor)
 		s.lease.failures = 0
+		s.lease.retryAt = time.Time{}
 		s.reconcile(now, pending.issued, result)
 	case zinniasill.OrderOtherIncarnation:
 		s.loseEndpoint(now, zinniasill.ReasonEndpointLost, "endpoint-replaced")
 	case zinniasill.OrderFenced:
 		s.fence = max(s.fence+1, uint64(result.Clock/time.Millisecond))
+	case zinniasill.OrderNoAnswer:
+		if pending.call.probe {
+			s.handleProbeFailure(now)
+			break
+		}
+		s.handleRenewalFailure(now, pending.issued, result.Outcome)
 	default:
 		s.handleRenewalFailure(now, pending.issued, result.Outcome)
 	}
@@ -138,7 +146,7 @@
 
 // handleRenewalFailure handles a renewal without a usable answer.
 func (s *Supervisor) handleRenewalFailure(now, issued time.Time, outcome zinniasill.OrderOutcome) {
-	s.lease.failures++
+	s.lease.failures = max(s.lease.failures, 1)
 	s.record("hold-failed", slog.String("outcome", string(outcome)), slog.Int("failed", s.lease.failures),
 		slog.Duration("after", now.Sub(issued)), slog.Int("running", len(s.active)))
 	pause := unreachableRetryDelay
@@ -150,6 +158,15 @@
 	s.expireLease(now)
 }
 
+// handleProbeFailure handles a probe without an answer. Others may have followed it and have
+// been answered. If none was due yet, the connection was reset, and the next is sent soon.
+func (s *Supervisor) handleProbeFailure(now time.Time) {
+	if next := now.Add(unreachableRetryDelay); s.lease.failures > 0 && next.Before(s.lease.retryAt) {
+		s.lease.retryAt = next
+	}
+	s.expireLease(now)
+}
+
 // expireLease closes all tasks if renewals fail and the lease has expired, because all runs
 // at the endpoint have ended then.
 func (s *Supervisor) expireLease(now time.Time) {
@@ -158,16 +175,6 @@
 	}
 }
 
-// silenceReason returns the reason for which runs are lost after a silence. Where
-// connections are refused nothing listens any more; otherwise the endpoint may have run on
-// until its lease expired.
-func (s *Supervisor) silenceReason() zinniasill.Reason {
-	if s.refused > 0 {
-		return zinniasill.ReasonEndpointLost
-	}
-	return zinniasill.ReasonLeaseExpired
-}
-
 // extendsLease reports whether the call extends the lease when it is carried out.
 func (c Call) extendsLease() bool {
 	return c.Start != nil || c.Renew != nil && c.Renew.Deadline > 0
@@ -192,142 +199,3 @@
 	}
 	return last
 }
-
-// reconcile compares the endpoint's lists with the recorded state of its runs.
-func (s *Supervisor) reconcile(now, issued time.Time, result zinniasill.RenewResult) {
-	for _, completion := range result.Completions {
-		if completion.Number > s.lease.cursor {
-			s.lease.cursor = completion.Number
-			s.handleCompletion(now, completion)
-		}
-	}
-	listed := make(map[zinniasill.TaskID]zinniasill.Attempt, len(result.Running))
-	orphans := 0
-	for _, running := range result.Running {
-		listed[running.Task] = running.Run
-		if !s.confirmRunning(now, running) {
-			orphans++
-			s.stopOrphan(now, running)
-		}
-	}
-	if orphans == 0 && !s.adopted {
-		s.adopted = true
-		s.reporting = true
-		s.record("endpoint-adopted", slog.String("life", s.incarnation.ID), slog.Uint64("fence", s.fence))
-	}
-	if len(result.Completions) < maxCompletions {
-		s.handleUnlisted(now, issued, listed)
-	}
-}
-
-// confirmRunning records that a task is listed as running. It returns false for a run
-// that this process did not start.
-func (s *Supervisor) confirmRunning(now time.Time, running zinniasill.RunningTask) bool {
-	t := s.active[running.Task]
-	if t == nil || t.run != running.Run {
-		return false
-	}
-	if t.state == stateStarting || t.state == stateDoubtful && t.lastStop.IsZero() {
-		s.markRunning(now, t)
-	}
-	t.ran = true
-	return true
-}
-
-// stopOrphan stops an orphaned run: one that was started by an earlier process, or by an
-// order that was carried out late.
-func (s *Supervisor) stopOrphan(now time.Time, running zinniasill.RunningTask) {
-	if now.Sub(s.orphanStops[running.Task]) < orphanStopInterval {
-		return
-	}
-	s.orphanStops[running.Task] = now
-	s.recordRun(now, running.Task, running.Run)
-	s.record("stray-run", slog.String("job", running.Task.Job), slog.String("task", running.Task.String()),
-		slog.Int("run", int(running.Run)))
-	s.issue(now, Call{
-		Stop:    &zinniasill.StopOrder{Incarnation: s.incarnation, Task: running.Task, Run: running.Run, Fence: s.fence},
-		Timeout: s.responses.timeout(),
-	}, nil)
-}
-
-// handleCompletion handles one completion.
-func (s *Supervisor) handleCompletion(now time.Time, completion zinniasill.Completion) {
-	s.recordRun(now, completion.Task, completion.Run)
-	t := s.active[completion.Task]
-	if t == nil || t.run != completion.Run {
-		return
-	}
-	t.ran = true
-	began := t.startedAt
-	if began.IsZero() {
-		began = t.orderedAt
-	}
-	switch completion.Reason {
-	case zinniasill.CompletionDone:
-		s.stats.addSuccess(now, now.Sub(began), t.estimate)
-		s.close(t, eventEnd, message.RunDone, "")
-	case zinniasill.CompletionFailed:
-		s.stats.addFailure(now)
-		s.close(t, eventEnd, message.RunFailed, zinniasill.ReasonTaskFailed)
-	default:
-		reason := t.reason
-		if reason == "" {
-			reason = zinniasill.ReasonLeaseExpired
-		}
-		s.close(t, eventEnd, message.RunReturned, reason)
-	}
-}
-
-// handleUnlisted closes the tasks that should be listed but are not. A renewal that was
-// issued before the start was accepted or the stop was answered proves nothing about the
-// run.
-func (s *Supervisor) handleUnlisted(now, issued time.Time, listed map[zinniasill.TaskID]zinniasill.Attempt) {
-	for _, t := range s.sortedActive() {
-		if run, ok := listed[t.id]; ok && run == t.run {
-			continue
-		}
-		switch {
-		case t.state == stateRunning && issued.After(t.startedAt):
-			s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonLeaseExpired)
-		case t.state == stateStopping && (t.stopAccepted || t.ran) && !t.stopPending && issued.After(t.lastStop):
-			s.close(t, eventEnd, message.RunReturned, t.reason)
-		case t.state == stateDoubtful && t.lastStop.IsZero() && issued.After(t.doubtfulSince):
-			// The run has not started. The stop prevents it from starting later.
-			s.sendStop(now, t)
-		}
-	}
-}
-
-// loseRuns closes all tasks at an endpoint whose incarnation or lease has ended. The
-// recorded inputs tell a crash from a silence: connections are refused only where nothing
-// listens, and a run that caused a crash was often ordered just before the last answer.
-func (s *Supervisor) loseRuns(now time.Time, reason zinniasill.Reason, cause string) {
-	if len(s.active) == 0 {
-		return
-	}
-	s.record("runs-lost", slog.String("reason", cause), slog.Int("runs", len(s.active)),
-		slog.Duration("silent", now.Sub(s.lastContact)), slog.Int("refused", s.refused))
-	if s.announced.Draining {
-		reason = zinniasill.ReasonEndpointLeft
-	}
-	if reason == zinniasill.ReasonEndpointLost {
-		s.lastCrash++
-	}
-	for _, t := range s.sortedActive() {
-		age := max(s.lastContact.Sub(t.orderedAt), 0)
-		s.record("run-lost", slog.String("job", t.id.Job), slog.String("task", t.id.String()),
-			slog.Int("run", int(t.run)), slog.Duration("age-at-last-answer", age))
-		if !t.ran {
-			// The start was not answered and may have been carried out.
-			t.ran = true
-			s.close(t, eventDrop, message.RunReturned, zinniasill.ReasonOutcomeUnknown)
-			continue
-		}
-		if reason == zinniasill.ReasonEndpointLost {
-			t.crash = s.lastCrash
-			t.crashAge = age
-			s.reportCrash(now, t)
-		}
-		s.close(t, eventDrop, message.RunReturned, reason)
-	}
-}
