--- a/internal/directmodel/crash_test.go
+++ b/internal/directmodel/crash_test.go
@@ -63,9 +63,7 @@
 	s.Settle()
 	s.Submit(0, directmodel.Job("deadly", 4, 5*time.Second))
 	s.Run(40 * time.Second)
-	if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Unknown {
-		t.Errorf("answers %+v, want one, unknown", s.Answers)
-	}
+	wantOneAnswer(t, s, dispatch.Unknown)
 	noViolations(t, s)
 }
 
@@ -169,9 +167,7 @@
 			disturb(s)
 			s.Submit(0, directmodel.Job("a", 1, 3*time.Second))
 			s.Run(20 * time.Second)
-			if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
-				t.Errorf("answers %+v, want one, completed", s.Answers)
-			}
+			wantOneAnswer(t, s, dispatch.Completed)
 			noViolations(t, s)
 		})
 	}
@@ -192,8 +188,25 @@
 		}
 	}
 	s.Run(8 * time.Second)
-	if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
-		t.Errorf("answers %+v, want one, completed", s.Answers)
+	wantOneAnswer(t, s, dispatch.Completed)
+	noViolations(t, s)
+}
+
+// TestRunLostWithItsEndpoint guards against a refusal as "not run" of a job whose start
+// was executed but not answered, right before its endpoint crashed.
+func TestRunLostWithItsEndpoint(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 1})
+	s.Settle()
+	endpoint := s.Agents[0].Endpoint
+	endpoint.Faults.ExecutionDelay = time.Millisecond
+	endpoint.Faults.Unanswered = func(executor.Call) bool { return true }
+	s.Submit(0, directmodel.Job("a", 2, 60*time.Millisecond))
+	s.Run(5 * time.Millisecond)
+	endpoint.Faults.Unresponsive = true
+	s.After(500*time.Millisecond, endpoint.Restart)
+	s.Run(5 * time.Second)
+	if endpoint.Starts == 0 || len(s.Answers) == 0 {
+		t.Fatalf("%d starts, %d answers", endpoint.Starts, len(s.Answers))
 	}
 	noViolations(t, s)
 }
--- a/internal/directmodel/fault_test.go
+++ b/internal/directmodel/fault_test.go
@@ -258,9 +258,7 @@
 			s.Run(5 * time.Second)
 			mute.Faults.Unanswered = nil
 			s.Run(5 * time.Second)
-			if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
-				t.Errorf("answers %+v, want one, completed", s.Answers)
-			}
+			wantOneAnswer(t, s, dispatch.Completed)
 			noViolations(t, s)
 		})
 	}
@@ -327,8 +325,6 @@
 	s.Run(100 * time.Millisecond)
 	s.Agents[0].EndpointLeft(s.Now, s.Agents[0].Endpoint.Incarnation.ID)
 	s.Run(5 * time.Second)
-	if len(s.Answers) != 1 || s.Answers[0].Result != dispatch.Completed {
-		t.Errorf("answers %+v, want one, completed", s.Answers)
-	}
+	wantOneAnswer(t, s, dispatch.Completed)
 	noViolations(t, s)
 }
--- a/internal/directmodel/simulation_test.go
+++ b/internal/directmodel/simulation_test.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// wantOneAnswer fails the test unless there is one answer, with the given result.
+func wantOneAnswer(t *testing.T, s *directmodel.Simulation, result dispatch.Result) {
+	t.Helper()
+	if len(s.Answers) != 1 || s.Answers[0].Result != result {
+		t.Errorf("answers %+v, want one, %s", s.Answers, result)
+	}
+}
+
 // load submits jobs of 4 tasks of 60 ms, one every interval, for a time. It returns the
 // number of jobs.
 func load(s *directmodel.Simulation, interval, length time.Duration) int {
@@ -154,25 +162,6 @@
 	noViolations(t, s)
 }
 
-// TestRunLostWithItsEndpoint guards against a refusal as "not run" of a job whose start
-// was executed but not answered, right before its endpoint crashed.
-func TestRunLostWithItsEndpoint(t *testing.T) {
-	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 1})
-	s.Settle()
-	endpoint := s.Agents[0].Endpoint
-	endpoint.Faults.ExecutionDelay = time.Millisecond
-	endpoint.Faults.Unanswered = func(executor.Call) bool { return true }
-	s.Submit(0, directmodel.Job("a", 2, 60*time.Millisecond))
-	s.Run(5 * time.Millisecond)
-	endpoint.Faults.Unresponsive = true
-	s.After(500*time.Millisecond, endpoint.Restart)
-	s.Run(5 * time.Second)
-	if endpoint.Starts == 0 || len(s.Answers) == 0 {
-		t.Fatalf("%d starts, %d answers", endpoint.Starts, len(s.Answers))
-	}
-	noViolations(t, s)
-}
-
 // TestOverload guards against an overload in which most jobs are started and few complete
 // in time: at one and a half times the capacity, with jobs of several sizes, the goodput
 // (tasks of jobs that meet their objective) must stay near the capacity, and jobs that
