Do not touch the other lost tasks of a job that has ended

What callers saw: nothing yet. The entry would have ended with a nil pointer dereference, and all its callers with it.

Cause: when an agent is lost, the loop over its tasks went on with tasks of a job that the loss of an earlier one had ended, and that had been released by that.

Change: the loop passes over tasks of jobs that have ended. A job that fails because its task is blamed always has the reason endpoint-lost.

Tests: directmodel.TestJobAbortedWithSeveralTasksLost panicked before.

Ruled out: the same in the other loops over tasks; answerOverdue and abort look at the end of the job, and those of the agent end no other task.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -208,6 +208,10 @@
 		slog.Duration("silent", now.Sub(a.lastReport)), slog.Int("tasks", len(a.tasks)))
 	a.reset()
 	for _, t := range a.sortedTasks() {
+		if t.job.ended {
+			// The loss of another of its tasks has ended the job.
+			continue
+		}
 		t.job.mayHaveRun = true
 		t.lostRuns++
 		d.handleReturn(now, t, zinniasill.ReasonLeaseExpired)
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -110,7 +110,7 @@
 	t.lastReturnReason = reason
 	switch {
 	case d.crashes.blamed(t.id()):
-		d.finish(now, t.job, Failed, reason)
+		d.finish(now, t.job, Failed, zinniasill.ReasonEndpointLost)
 	case t.returns > maxReturns || t.lostRuns >= maxLostRuns:
 		d.abort(now, t.job, reason)
 	default:
--- a/internal/directmodel/crash_test.go
+++ b/internal/directmodel/crash_test.go
@@ -210,3 +210,20 @@
 	}
 	noViolations(t, s)
 }
+
+// TestJobAbortedWithSeveralTasksLost guards against a panic of the entry when the loss of one
+// task aborts its job, while other tasks of the job are lost with the same agent.
+func TestJobAbortedWithSeveralTasksLost(t *testing.T) {
+	s := directmodel.New(directmodel.Config{Entries: 1, Agents: 1})
+	s.Settle()
+	s.Submit(0, directmodel.Job("a", 3, 5*time.Second))
+	for range 5 {
+		s.Run(1500 * time.Millisecond)
+		s.KillAgent(0)
+		s.Agents[0].Endpoint.Restart()
+		s.RestartAgent(0)
+	}
+	s.Run(5 * time.Second)
+	wantOneAnswer(t, s, dispatch.Unknown)
+	noViolations(t, s)
+}
