Split the tests of the membership from those of a replica

The tests of formation, membership, the open cluster and duplicate names stand in membership_test.go; no line of a test changes.

--- /dev/null
+++ b/core/consensus/membership_test.go
@@ -0,0 +1,153 @@
+package consensus
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"zinniasill"
+)
+
+// TestFormation guards against a second cluster after the loss of disks, and against a
+// cluster that not all replicas are configured to form.
+func TestFormation(t *testing.T) {
+	tests := map[string]struct {
+		configured bool
+		prepare    func(c *testCluster)
+		formed     bool
+		obstacle   string
+	}{
+		"all empty":      {configured: true, formed: true},
+		"not configured": {},
+		"one not configured": {
+			configured: true, obstacle: "was not told to form",
+			prepare: func(c *testCluster) {
+				c.procs["c"].newCluster = false
+				c.start("c")
+			},
+		},
+		"one down": {configured: true, prepare: func(c *testCluster) { c.procs["c"].down = true }},
+		"two of three lost after the formation": {
+			configured: true, obstacle: "belongs to cluster",
+			prepare: func(c *testCluster) {
+				c.waitLeader()
+				c.loseDisk("a")
+				c.loseDisk("b")
+			},
+		},
+		"two of three lost after the third agreed": {
+			configured: true, obstacle: "other members or instances",
+			prepare: func(c *testCluster) {
+				c.runUntil("the agreement of c", time.Minute, func() bool { return c.procs["c"].disk.Hard.Agreed != "" })
+				c.start("c")
+				c.loseDisk("a")
+				c.loseDisk("b")
+			},
+		},
+		"all lost and not configured": {
+			configured: true,
+			prepare: func(c *testCluster) {
+				c.waitLeader()
+				for _, name := range c.names {
+					c.procs[name].newCluster = false
+					c.loseDisk(name)
+				}
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 5, 3, test.configured)
+			if test.prepare != nil {
+				test.prepare(c)
+			}
+			c.network = nil
+			c.run(30 * time.Second)
+			if formed := c.leader() != nil; formed != test.formed {
+				t.Fatalf("cluster formed: %v", formed)
+			}
+			var obstacles []string
+			for _, p := range c.procs {
+				obstacles = append(obstacles, p.replica.Status().Obstacle)
+			}
+			if !strings.Contains(strings.Join(obstacles, "\n"), test.obstacle) {
+				t.Fatalf("obstacles %q, want %q", obstacles, test.obstacle)
+			}
+		})
+	}
+}
+
+// TestMembershipByOperator guards against replicas that join without being admitted,
+// removed replicas that join again, and a leader that cannot be removed.
+func TestMembershipByOperator(t *testing.T) {
+	c := newTestCluster(t, 11, 3, true)
+	c.waitLeader()
+	c.procs["d"] = &testProcess{member: Member{Name: "d", Instance: 99}}
+	c.start("d")
+	c.run(5 * time.Second)
+	if got := c.procs["d"].replica.Status(); got.Cluster != "" || got.Obstacle != string(RefusalUnknownName) {
+		t.Fatalf("status of a replica that was not admitted: %+v", got)
+	}
+	// Replica d lists a, b and c, but they do not list it.
+	if err := c.waitLeader().replica.Admit(c.now, Member{Name: "d"}); err != nil {
+		t.Fatal(err)
+	}
+	c.waitVoter("d")
+	leader := c.waitLeader()
+	c.commit(c.procs["d"], 3)
+	if err := leader.replica.Remove(c.now, leader.member.Name); err != nil {
+		t.Fatal(err)
+	}
+	c.runUntil("another leader", 10*time.Second, func() bool {
+		current := c.leader()
+		return current != nil && current != leader && !current.replica.membership().HasName(leader.member.Name)
+	})
+	c.loseDisk(leader.member.Name)
+	c.run(10 * time.Second)
+	if c.waitLeader().replica.membership().HasName(leader.member.Name) {
+		t.Fatal("a removed replica joined again")
+	}
+}
+
+// TestOpenCluster guards against a replica that cannot join an open cluster because its
+// settings list only some of the replicas: through a follower, with a leader that is not
+// listed, and with an empty disk after it was a member.
+func TestOpenCluster(t *testing.T) {
+	c := newTestCluster(t, 12, 3, true)
+	c.open = true
+	for _, name := range c.names {
+		c.start(name)
+	}
+	c.waitLeader()
+	for i, name := range []zinniasill.NodeID{"d", "e"} {
+		c.procs[name] = &testProcess{member: Member{Name: name, Instance: zinniasill.Incarnation(98 + i)}}
+		c.start(name)
+		c.waitVoter(name)
+	}
+	if !c.waitLeader().replica.Transfer(c.now, "d") && c.waitLeader().member.Name != "d" {
+		t.Fatal("the leadership was not transferred")
+	}
+	c.runUntil("d to become the leader", 10*time.Second, func() bool {
+		return c.procs["d"].replica.Status().Role == Leader
+	})
+	c.loseDisk("a")
+	c.waitVoter("a")
+	c.commit(c.procs["d"], 3)
+}
+
+// TestDuplicateName guards against two processes with the same name that replace each
+// other endlessly.
+func TestDuplicateName(t *testing.T) {
+	c := newTestCluster(t, 13, 3, true)
+	leader := c.waitLeader()
+	voter := zinniasill.Node{ID: "a", Incarnation: 1}
+	if leader.member.Name == "a" {
+		voter = zinniasill.Node{ID: "b", Incarnation: 2}
+	}
+	duplicate := Member{Name: voter.ID, Instance: 50}
+	leader.replica.onJoinRequest(duplicate.Node(), "", JoinRequest{Member: duplicate})
+	m := leader.replica.membership()
+	if !m.IsVoter(voter) || m.IsLearner(duplicate.Node()) {
+		t.Fatalf("a running instance is being replaced: %+v", m)
+	}
+}
