--- a/review/standin/reboots.go
+++ b/review/standin/reboots.go
@@ -11,7 +11,7 @@
 
 // Reboots of executors.
 const (
-	reboots        = 25
+	reboots        = 50
 	rebootInterval = 1200 * time.Millisecond
 	// downTime is how long an executor is down.
 	downTime = 100 * time.Millisecond
