--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -45,10 +45,13 @@
 
 // scenarios are the scenarios by name.
 func scenarios() map[string]scenario {
+	// One executor of seven is the share of executors that may be down at a time.
+	seven := defaultOptions()
+	seven.agents = 7
 	return map[string]scenario{
 		"cancel-elsewhere": {options: defaultOptions(), play: playCancelElsewhere},
 		"late-duplicate":   {options: defaultOptions(), play: playLateDuplicate},
-		"other-kind":       {options: defaultOptions(), play: playOtherKind},
+		"other-kind":       {options: seven, play: playOtherKind},
 	}
 }
 
