Remove voters that are gone for good once a successor has joined

Cause: a replica at a new address joins an open cluster and becomes a voter, but nothing removes the voter of the machine that it replaces. After three replacements the cluster has 8 voters of which 5 exist; with one disk lost, the 4 that can vote are no majority, and the one that lost its disk needs a majority to join again. One replacement is enough to lose the majority in a cut that takes away a failure domain.

Change: the membership has a size, which is the number of replicas that formed the cluster or joined at its first start, and which operators change with Admit and Remove. While there are more voters than that, the leader removes the one that has been silent for the longest time, from 1.5 s on, if the others have a quorum. Without a surplus nothing is removed, so that no entry is on fewer disks than before. A voter without a leader now asks to join again: it may have been removed while it was only cut off, and nobody would answer it otherwise.

Ruled out: to let a replica leave when it gets a stop signal. It cannot tell a replacement from a restart, and restarts of all replicas in turn would shrink the group. To count a join as growth when all voters are alive: a planned replacement starts the successor first.

--- a/core/consensus/cluster_test.go
+++ b/core/consensus/cluster_test.go
@@ -43,6 +43,7 @@
 type testProcess struct {
 	member     Member
 	newCluster bool
+	firstStart bool
 	replica    *Replica
 	disk       memDisk
 	// state is a hash over all applied entries, and applied the index of the last one.
@@ -120,7 +121,7 @@
 	replica, err := New(Config{
 		Self: p.member, Peers: peers, NewCluster: p.newCluster,
 		Rand: rand.New(rand.NewPCG(c.rand.Uint64(), 2)), TrailingEntries: 20, MaxBatchEntries: 16,
-		Open: c.open,
+		Open: c.open, FirstStart: p.firstStart,
 	}, recovered)
 	if err != nil {
 		c.t.Fatal(err)
--- a/core/consensus/config.go
+++ b/core/consensus/config.go
@@ -13,6 +13,7 @@
 	DefaultMaxElectionTimeout = 600 * time.Millisecond
 	DefaultHeartbeatInterval  = 100 * time.Millisecond
 	DefaultProposalTimeout    = 2 * time.Second
+	DefaultRemovalTimeout     = 1500 * time.Millisecond
 	DefaultMaxBatchEntries    = 256
 	DefaultMaxBatchBytes      = 256 << 10
 	DefaultTrailingEntries    = 1024
@@ -32,6 +33,10 @@
 	// member. Peers may then be a part of the replicas: a new replica joins through those
 	// that it lists.
 	Open bool
+	// FirstStart states that the whole cluster starts for the first time, together with this
+	// replica. A replica that joins an open cluster later is the successor of one that is
+	// gone.
+	FirstStart bool
 	// Rand draws the election timeouts.
 	Rand *rand.Rand
 	// MinElectionTimeout and MaxElectionTimeout bound the random time without a leader
@@ -44,6 +49,9 @@
 	// ProposalTimeout is the time after which a forwarded proposal without an answer
 	// ends as Unknown, and a forwarded read fails.
 	ProposalTimeout time.Duration
+	// RemovalTimeout is the time without an answer after which a surplus voter is removed
+	// from the membership.
+	RemovalTimeout time.Duration
 	// MaxBatchEntries and MaxBatchBytes limit the entries of one Append. An entry that
 	// exceeds MaxBatchBytes is sent alone.
 	MaxBatchEntries int
@@ -58,6 +66,7 @@
 	setDefault(&c.MaxElectionTimeout, max(DefaultMaxElectionTimeout, c.MinElectionTimeout))
 	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
 	setDefault(&c.ProposalTimeout, DefaultProposalTimeout)
+	setDefault(&c.RemovalTimeout, max(DefaultRemovalTimeout, c.MaxElectionTimeout))
 	setDefault(&c.MaxBatchEntries, DefaultMaxBatchEntries)
 	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
 	setDefault(&c.TrailingEntries, DefaultTrailingEntries)
--- a/core/consensus/formation.go
+++ b/core/consensus/formation.go
@@ -151,7 +151,7 @@
 	sortMembers(voters)
 	r.hard.Cluster = r.hard.Agreed
 	r.setTerm(1)
-	r.add(Entry{Index: 1, Term: 1, Kind: KindMembership, Membership: &Membership{Voters: voters}})
+	r.add(Entry{Index: 1, Term: 1, Kind: KindMembership, Membership: &Membership{Voters: voters, Size: len(voters)}})
 	r.setObstacle("")
 	r.out.statusDirty = true
 	r.resetDeadline()
--- a/core/consensus/member.go
+++ b/core/consensus/member.go
@@ -41,6 +41,17 @@
 	Voters []Member `cbor:"1,keyasint"`
 	// Learners receive the log but do not vote.
 	Learners []Member `cbor:"2,keyasint,omitempty"`
+	// Size is the number of replicas that the cluster is meant to have. While there are more
+	// voters, those that are gone are removed. It is 0 in logs that do not have it yet.
+	Size int `cbor:"3,keyasint,omitempty"`
+}
+
+// surplus returns the number of voters above the intended size.
+func (m Membership) surplus() int {
+	if m.Size == 0 {
+		return 0
+	}
+	return max(len(m.Voters)-m.Size, 0)
 }
 
 // IsVoter reports whether node is a voter.
@@ -80,6 +91,7 @@
 	return Membership{
 		Voters:   m.Voters,
 		Learners: append(without(m.Learners, learner.Name), learner),
+		Size:     m.Size,
 	}
 }
 
@@ -87,12 +99,12 @@
 func (m Membership) withVoter(voter Member) Membership {
 	voters := append(without(m.Voters, voter.Name), voter)
 	sortMembers(voters)
-	return Membership{Voters: voters, Learners: without(m.Learners, voter.Name)}
+	return Membership{Voters: voters, Learners: without(m.Learners, voter.Name), Size: m.Size}
 }
 
 // withoutVoter returns the membership without the voter called name.
 func (m Membership) withoutVoter(name zinniasill.NodeID) Membership {
-	return Membership{Voters: without(m.Voters, name), Learners: m.Learners}
+	return Membership{Voters: without(m.Voters, name), Learners: m.Learners, Size: m.Size}
 }
 
 // without returns the members whose name is not name.
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -32,17 +32,30 @@
 	if r.membership().HasName(member.Name) {
 		return ErrKnownMember
 	}
-	r.changeMembership(r.membership().withLearner(Member{Name: member.Name, Address: member.Address}))
+	next := r.sizedMembership().withLearner(Member{Name: member.Name, Address: member.Address})
+	next.Size++
+	r.changeMembership(next)
 	return nil
 }
 
-// Remove removes all instances of a name from the membership.
+// sizedMembership returns the membership in effect with its size, which logs of earlier
+// versions do not have.
+func (r *Replica) sizedMembership() Membership {
+	current := r.membership()
+	if current.Size == 0 {
+		current.Size = len(current.Voters)
+	}
+	return current
+}
+
+// Remove removes all instances of a name from the membership. The cluster is meant to have
+// one replica fewer from then on, unless it had a surplus.
 func (r *Replica) Remove(now time.Time, name zinniasill.NodeID) error {
 	r.advance(now)
 	if err := r.checkChange(); err != nil {
 		return err
 	}
-	current := r.membership()
+	current := r.sizedMembership()
 	if !current.HasName(name) {
 		return ErrUnknownMember
 	}
@@ -51,6 +64,7 @@
 		return ErrLastVoter
 	}
 	next.Learners = without(next.Learners, name)
+	next.Size = min(next.Size, len(next.Voters)+len(next.Learners))
 	r.changeMembership(next)
 	return nil
 }
@@ -90,7 +104,7 @@
 		return
 	}
 	from = req.Member.Node()
-	current := r.membership()
+	current := r.sizedMembership()
 	if current.IsVoter(from) || current.IsLearner(from) {
 		r.send(from, JoinReply{Cluster: r.hard.Cluster})
 		return
@@ -103,9 +117,14 @@
 		r.send(from, JoinReply{Cluster: r.hard.Cluster, Refusal: RefusalInstanceAlive})
 		return
 	}
-	if r.checkChange() == nil {
-		r.changeMembership(current.withLearner(req.Member))
+	if r.checkChange() != nil {
+		return
 	}
+	next := current.withLearner(req.Member)
+	if req.FirstStart && !current.HasName(from.ID) {
+		next.Size++
+	}
+	r.changeMembership(next)
 }
 
 // validJoinSender reports whether a request was sent by the replica that wants to join, or
@@ -146,23 +165,42 @@
 	}
 }
 
-// sendJoinRequest sends a JoinRequest to all listed peers.
+// sendJoinRequest sends a JoinRequest to all listed peers and to the members that are known
+// from the log, since the listed ones may all have been replaced.
 func (r *Replica) sendJoinRequest() {
+	request := JoinRequest{Member: r.cfg.Self, FirstStart: r.cfg.FirstStart && r.hard.Cluster == ""}
 	for _, peer := range r.cfg.Peers {
 		if peer.Name != r.self.ID {
-			r.send(zinniasill.Node{ID: peer.Name}, JoinRequest{Member: r.cfg.Self})
+			r.send(zinniasill.Node{ID: peer.Name}, request)
+		}
+	}
+	for _, member := range r.membership().peers(r.self) {
+		if indexName(r.cfg.Peers, member.Name) < 0 {
+			r.send(member.Node(), request)
 		}
 	}
 }
 
-// repairMembership starts the next membership change in replacing a voter that lost its
-// disk. Once the new instance has caught up as a learner, the old one is removed, and
-// then the learner is promoted to voter. Each change waits until the previous one is
-// committed.
+// requestReturn sends a JoinRequest from a voter without a leader. If it was removed while it
+// was taken for gone, the others do not send to it and do not vote for it.
+func (r *Replica) requestReturn() {
+	if r.cfg.Open && r.leader.ID == "" {
+		r.sendJoinRequest()
+	}
+}
+
+// repairMembership starts the next membership change that is due. Each change waits until
+// the previous one is committed.
 func (r *Replica) repairMembership() {
-	if r.checkChange() != nil {
+	if r.checkChange() != nil || r.promoteLearner() {
 		return
 	}
+	r.removeSurplus()
+}
+
+// promoteLearner promotes a learner that has caught up. If it replaces a voter that lost its
+// disk, the old instance is removed first. It reports whether it has changed the membership.
+func (r *Replica) promoteLearner() bool {
 	current := r.membership()
 	for _, learner := range current.Learners {
 		f, ok := r.leading.followers[learner.Node()]
@@ -172,14 +210,36 @@
 		at := indexName(current.Voters, learner.Name)
 		if at < 0 {
 			r.changeMembership(current.withVoter(learner))
-			return
+			return true
 		}
 		next := current.withoutVoter(learner.Name)
 		if !r.isAlive(current.Voters[at].Node()) && r.quorumAlive(next) {
 			r.changeMembership(next)
-			return
+			return true
 		}
 	}
+	return false
+}
+
+// removeSurplus removes the voter that has been silent for the longest time if there are more
+// voters than the cluster is meant to have. Without a surplus, a voter that is down stays:
+// each entry would be on fewer disks.
+func (r *Replica) removeSurplus() {
+	current := r.membership()
+	if current.surplus() == 0 {
+		return
+	}
+	var gone zinniasill.NodeID
+	oldest := r.now.Add(-r.cfg.RemovalTimeout)
+	for _, voter := range current.Voters {
+		f, ok := r.leading.followers[voter.Node()]
+		if ok && f.lastReceived.Before(oldest) {
+			gone, oldest = voter.Name, f.lastReceived
+		}
+	}
+	if next := current.withoutVoter(gone); gone != "" && r.quorumAlive(next) {
+		r.changeMembership(next)
+	}
 }
 
 // quorumAlive reports whether a quorum of the voters in m is alive, so that the change to
--- a/core/consensus/membership_test.go
+++ b/core/consensus/membership_test.go
@@ -135,6 +135,119 @@
 	c.commit(c.procs["d"], 3)
 }
 
+// openCluster returns an open cluster of five voters: three that formed it, and two more that
+// started with them.
+func openCluster(t *testing.T, seed uint64) *testCluster {
+	c := newTestCluster(t, seed, 3, true)
+	c.open = true
+	for _, name := range c.names {
+		c.start(name)
+	}
+	c.waitLeader()
+	for _, name := range []zinniasill.NodeID{"d", "e"} {
+		c.add(name, true)
+		c.waitVoter(name)
+	}
+	return c
+}
+
+// add starts a process with a new name and an empty disk.
+func (c *testCluster) add(name zinniasill.NodeID, firstStart bool) {
+	c.lastInstance++
+	c.procs[name] = &testProcess{member: Member{Name: name, Instance: c.lastInstance}, firstStart: firstStart}
+	c.start(name)
+}
+
+// replace adds a process and stops another one for good.
+func (c *testCluster) replace(former, successor zinniasill.NodeID, planned bool) {
+	if planned {
+		c.add(successor, false)
+		c.run(time.Second)
+	}
+	c.procs[former].down = true
+	if !planned {
+		c.run(time.Second)
+		c.add(successor, false)
+	}
+}
+
+// TestReplacedMembers guards against replicas that are gone for good and remain voters: after
+// some replacements the group had no majority once one more disk was lost.
+func TestReplacedMembers(t *testing.T) {
+	tests := map[string]struct {
+		replacements [][2]zinniasill.NodeID
+		planned      bool
+	}{
+		"one planned":           {[][2]zinniasill.NodeID{{"a", "f"}}, true},
+		"one unplanned":         {[][2]zinniasill.NodeID{{"a", "f"}}, false},
+		"three planned":         {[][2]zinniasill.NodeID{{"a", "f"}, {"b", "g"}, {"c", "h"}}, true},
+		"three unplanned":       {[][2]zinniasill.NodeID{{"a", "f"}, {"b", "g"}, {"c", "h"}}, false},
+		"successor is replaced": {[][2]zinniasill.NodeID{{"a", "f"}, {"f", "g"}, {"g", "h"}}, true},
+	}
+	// settle is the time between a replacement and the next loss.
+	const settle = 4 * time.Second
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := openCluster(t, 21)
+			c.names = []zinniasill.NodeID{"a", "b", "c", "d", "e", "f", "g", "h"}[:5+len(test.replacements)]
+			for _, pair := range test.replacements {
+				c.replace(pair[0], pair[1], test.planned)
+				c.run(settle)
+			}
+			if voters := c.waitLeader().replica.membership().Voters; len(voters) != 5 {
+				t.Errorf("%d voters after %d replacements, want 5: %v", len(voters), len(test.replacements), voters)
+			}
+			// The power of all others fails for a moment as well.
+			for _, process := range c.allNames() {
+				if !c.procs[process].down {
+					c.start(process)
+				}
+			}
+			c.loseDisk("e")
+			c.commit(c.procs["d"], 3)
+			c.waitVoter("e")
+		})
+	}
+}
+
+// TestRemovedMemberReturns guards against a replica that was taken for gone, because another
+// one had joined, and that can never vote again although it is back.
+func TestRemovedMemberReturns(t *testing.T) {
+	c := openCluster(t, 22)
+	leader := c.waitLeader().member.Name
+	cut := zinniasill.NodeID("a")
+	if leader == cut {
+		cut = "b"
+	}
+	c.add("f", false)
+	for _, other := range c.allNames() {
+		c.setBlocked(cut, other, true)
+		c.setBlocked(other, cut, true)
+	}
+	c.names = append(c.names, "d", "e", "f")
+	c.runUntil("the removal of "+string(cut), 10*time.Second, func() bool {
+		current := c.leader()
+		return current != nil && !current.replica.membership().HasName(cut)
+	})
+	c.commit(c.procs["f"], 3)
+	clear(c.blocked)
+	c.waitVoter(cut)
+	c.commit(c.procs[cut], 3)
+}
+
+// TestNoRemovalWithoutSuccessor guards against the removal of voters that are down for a
+// while: the disks that hold each entry would become fewer.
+func TestNoRemovalWithoutSuccessor(t *testing.T) {
+	c := openCluster(t, 23)
+	c.names = append(c.names, "d", "e")
+	c.procs["d"].down = true
+	c.procs["e"].down = true
+	c.run(time.Minute)
+	if voters := c.waitLeader().replica.membership().Voters; len(voters) != 5 {
+		t.Errorf("voters %v, want all five", voters)
+	}
+}
+
 // TestDuplicateName guards against two processes with the same name that replace each
 // other endlessly.
 func TestDuplicateName(t *testing.T) {
--- a/core/consensus/message.go
+++ b/core/consensus/message.go
@@ -119,6 +119,10 @@
 	Member Member `cbor:"1,keyasint"`
 	// Forwarded is set by a member of an open cluster that forwards the request.
 	Forwarded bool `cbor:"2,keyasint,omitempty"`
+	// FirstStart is set by a replica without a log that started together with the whole
+	// cluster. It increases the size of the cluster; any other replica with a new name takes
+	// the place of one that is gone.
+	FirstStart bool `cbor:"3,keyasint,omitempty"`
 }
 
 // JoinReply answers a JoinRequest. Refusal is empty if the replica is a member.
--- a/core/consensus/message_test.go
+++ b/core/consensus/message_test.go
@@ -13,7 +13,7 @@
 func TestMessagesRoundTrip(t *testing.T) {
 	node := zinniasill.Node{ID: "a", Incarnation: 1}
 	member := Member{Name: "b", Instance: 2, Address: "b:1"}
-	membership := Membership{Voters: []Member{member}, Learners: []Member{member, member}}
+	membership := Membership{Voters: []Member{member}, Learners: []Member{member, member}, Size: 3}
 	entry := Entry{Index: 1, Term: 2, Kind: KindMembership, Data: []byte{3}, Membership: &membership}
 	messages := []any{
 		PreVote{1, 2, 3},
@@ -29,7 +29,7 @@
 		ReadRequest{1, 2},
 		ReadReply{1, true, 2, 3},
 		Hello{member, "c", true, "d", true},
-		JoinRequest{member, true},
+		JoinRequest{member, true, true},
 		JoinReply{"c", RefusalInstanceAlive},
 		HardState{"c", 1, node, "d"},
 	}
--- a/core/consensus/replica.go
+++ b/core/consensus/replica.go
@@ -161,6 +161,7 @@
 	switch {
 	case r.hard.Cluster != "" && r.membership().IsVoter(r.self):
 		r.startPreVote()
+		r.requestReturn()
 	case r.isForming():
 		r.sendHello()
 	default:
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -177,6 +177,7 @@
 		Name: name, Peers: p.members, DataFolder: s.DataFolder, NewCluster: newCluster,
 		Sender: link, Clock: p.clock, Counters: p.metrics, Log: p.log, Rand: newRand(), Lease: s.Lease,
 		Open:            s.OpenGroup,
+		FirstStart:      s.FirstStart,
 		BackgroundTasks: control.LeaderTasksConfig{ReplaceTimeout: s.ReplaceAfter},
 	})
 	if err != nil {
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -37,7 +37,9 @@
 	DataFolder string
 	NewCluster bool
 	// Open allows replicas that are not named in Peers to join.
-	Open            bool
+	Open bool
+	// FirstStart states that the whole cluster starts for the first time.
+	FirstStart      bool
 	Sender          daemon.Sender
 	Clock           zinniasill.Clock
 	Counters        zinniasill.Counters
@@ -91,6 +93,7 @@
 		Peers:      cfg.Peers,
 		NewCluster: cfg.NewCluster,
 		Open:       cfg.Open,
+		FirstStart: cfg.FirstStart,
 		Rand:       cfg.Rand,
 	}, found.Recovered)
 	if err != nil {
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -71,6 +71,9 @@
 	// flag: an adapter sets it if processes are configured with only some of the
 	// replicas.
 	OpenGroup bool
+	// FirstStart is consensus.Config.FirstStart. It has no flag: it matters only with
+	// OpenGroup.
+	FirstStart bool
 	// ReplaceAfter is control.LeaderTasksConfig.ReplaceTimeout. It has no flag: an adapter sets
 	// it if its node names allow a shorter time.
 	ReplaceAfter time.Duration
