Start tasks only at the incarnation and label that they are meant for

Cause, in two parts. An order names only the id of the endpoint, so that one on a new connection reaches whatever incarnation listens there now. And the agent did not know the label of a task: it kept its queue over the restart, and took tasks that entries assigned by an older report.

Change: starts use connections of their own. On each new one the agent asks first, with a renewal that extends nothing, which incarnation is at the other end; a start to another one is not written (io/endpoint, Confirmed). A connection cannot outlive the process at its end, so once is enough. A start that was not sent has an outcome of its own, not-sent, since it surely was not carried out. An offer now has the label of its tasks; the agent returns those that its endpoint cannot run when it receives them, after each announcement, and before each start.

Ruled out: to stop starts after a failed renewal only. An idle agent renews nothing, and a restart of 50 ms fits between two renewals.

--- a/core/dispatch/offer.go
+++ b/core/dispatch/offer.go
@@ -72,6 +72,6 @@
 	return &message.JobOffer{
 		Job: t.job.ID, Step: uint32(t.step), Spec: t.job.Spec, Need: step.Need,
 		Estimate: step.Estimate, Priority: t.job.Priority,
-		Slack: max(t.job.slack()-now.Sub(t.job.arrivedAt), 0),
+		Slack: max(t.job.slack()-now.Sub(t.job.arrivedAt), 0), Label: step.Label,
 	}
 }
--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -48,7 +48,7 @@
 // the mean only slightly: if all answers of a slow machine are late, the timeout grows
 // until they arrive in time, while occasional lost answers do not delay the other calls.
 func (r *responseTimes) observe(took time.Duration, outcome zinniasill.OrderOutcome) {
-	if outcome == zinniasill.OrderNoAnswer {
+	if outcome == zinniasill.OrderNoAnswer || outcome == zinniasill.OrderNotSent {
 		mean := max(r.mean, minOrderTimeout/timeoutFactor)
 		r.mean = min(time.Duration(float64(mean)*missedResponseGrowth), maxOrderTimeout/timeoutFactor)
 		return
@@ -123,7 +123,8 @@
 // an endpoint that announces itself but answers no orders: such an endpoint gets no new
 // work until it answers again.
 func (s *Supervisor) observeResponse(now, issued time.Time, result zinniasill.OrderResult) {
-	if result.Outcome == zinniasill.OrderNoAnswer || result.Outcome == zinniasill.OrderUnreachable {
+	switch result.Outcome {
+	case zinniasill.OrderNoAnswer, zinniasill.OrderUnreachable, zinniasill.OrderNotSent:
 		s.unanswered++
 		if result.Outcome == zinniasill.OrderUnreachable {
 			s.refused++
@@ -134,6 +135,7 @@
 			s.returnQueue(zinniasill.ReasonNoEndpoint)
 		}
 		return
+	default:
 	}
 	if s.suspect() {
 		s.record("endpoint-answers", slog.Int("unanswered", s.unanswered))
@@ -181,6 +183,9 @@
 		s.startsBlockedUntil = now.Add(unreachableRetryDelay)
 		s.stats.addFailure(now)
 		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonNoEndpoint)
+	case zinniasill.OrderNotSent:
+		s.stats.addFailure(now)
+		s.close(t, eventEnd, message.RunReturned, zinniasill.ReasonNoEndpoint)
 	default:
 		t.apply(eventDoubt)
 		t.doubtfulSince = now
--- a/core/executor/incarnation.go
+++ b/core/executor/incarnation.go
@@ -39,14 +39,14 @@
 		s.record("endpoint-announced", slog.Bool("draining", announcement.Draining),
 			slog.Uint64("sequence", announcement.Sequence), slog.String("life", announcement.Incarnation.ID))
 	}
-	if !s.present || first || announcement.Draining != s.announced.Draining || announcement.Capacity != s.announced.Capacity {
+	if !s.present || first || announcement.Draining != s.announced.Draining || !announcement.sameOffer(s.announced) {
 		s.loadVersion++
 	}
 	s.announced = announcement
 	s.present = true
 	s.lastContact = now
 	s.syncAnnouncedClock(now, announcement.Clock)
-	s.returnTooLarge()
+	s.returnMisfits()
 	if announcement.Draining {
 		s.returnQueue(zinniasill.ReasonLeaving)
 	}
@@ -59,14 +59,20 @@
 	return sequence <= last && last != 0 && last-sequence <= maxSequenceLag
 }
 
-// returnTooLarge returns the queued tasks that exceed the whole capacity of the endpoint,
-// which may shrink while it runs.
-func (s *Supervisor) returnTooLarge() {
+// sameOffer reports whether two announcements tell the same capacity and labels.
+func (a Announcement) sameOffer(b Announcement) bool {
+	return a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+}
+
+// returnMisfits returns the queued tasks that the endpoint cannot run: its capacity may shrink
+// while it runs, and another incarnation may be of another kind.
+func (s *Supervisor) returnMisfits() {
 	s.queue = slices.DeleteFunc(s.queue, func(t *task) bool {
-		if t.need.Within(s.announced.Capacity) {
+		reason := s.misfit(t)
+		if reason == "" {
 			return false
 		}
-		s.close(t, eventDrop, message.RunReturned, zinniasill.ReasonTooLarge)
+		s.close(t, eventDrop, message.RunReturned, reason)
 		return true
 	})
 }
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -207,9 +207,10 @@
 }
 
 // noteExtension records that an answered call may have extended the lease. A call was
-// surely not carried out only if nothing listened at the endpoint's address.
+// surely not carried out only if it was not sent, or nothing listened at the endpoint's
+// address.
 func (s *Supervisor) noteExtension(pending pendingCall, outcome zinniasill.OrderOutcome) {
-	if outcome != zinniasill.OrderUnreachable && pending.call.extendsLease() && pending.issued.After(s.lease.extendedAt) {
+	if outcome != zinniasill.OrderUnreachable && outcome != zinniasill.OrderNotSent && pending.call.extendsLease() && pending.issued.After(s.lease.extendedAt) {
 		s.lease.extendedAt = pending.issued
 	}
 }
--- a/core/executor/odd_messages_test.go
+++ b/core/executor/odd_messages_test.go
@@ -19,7 +19,7 @@
 	results := rapid.Make[zinniasill.RenewResult]()
 	outcomes := rapid.SampledFrom([]zinniasill.OrderOutcome{
 		zinniasill.OrderAccepted, zinniasill.OrderNoCapacity, zinniasill.OrderOldRun, zinniasill.OrderLate, zinniasill.OrderFenced,
-		zinniasill.OrderInvalid, zinniasill.OrderUnhealthy, zinniasill.OrderOtherIncarnation, zinniasill.OrderUnreachable, zinniasill.OrderNoAnswer,
+		zinniasill.OrderInvalid, zinniasill.OrderUnhealthy, zinniasill.OrderOtherIncarnation, zinniasill.OrderUnreachable, zinniasill.OrderNotSent, zinniasill.OrderNoAnswer,
 	})
 	rapid.Check(t, func(t *rapid.T) {
 		supervisor := executor.New(executor.Config{Self: zinniasill.Node{ID: "agent", Incarnation: 1}})
--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -23,6 +23,7 @@
 	state       chart.State
 	spec        string
 	need        resource.Amount
+	label       string // the endpoint must have it, unless it is empty
 	estimate    time.Duration
 	priority    int
 	latestStart time.Time // a later start misses the job's objective
@@ -65,7 +66,7 @@
 			id:      zinniasill.TaskID{Job: offer.Job, Step: offer.Step, Index: assigned.Index},
 			attempt: assigned.Attempt, assignment: assigned.Assignment, owner: sess,
 			state: runChart.Initial(), spec: offer.Spec,
-			need: offer.Need, estimate: offer.Estimate, priority: offer.Priority,
+			need: offer.Need, label: offer.Label, estimate: offer.Estimate, priority: offer.Priority,
 			latestStart: now.Add(offer.Slack), queuedAt: now,
 		}
 		if reason := s.refusal(now, t); reason != "" {
@@ -90,8 +91,8 @@
 		return zinniasill.ReasonLeaving
 	case !s.acceptsWork(now):
 		return zinniasill.ReasonNoEndpoint
-	case !t.need.Within(s.announced.Capacity):
-		return zinniasill.ReasonTooLarge
+	case s.misfit(t) != "":
+		return s.misfit(t)
 	case s.expectedWait(now, t) > maxQueuedWait:
 		return zinniasill.ReasonOverload
 	default:
@@ -99,6 +100,19 @@
 	}
 }
 
+// misfit returns the reason for which the endpoint could not run a task even if it were idle,
+// empty if it could.
+func (s *Supervisor) misfit(t *task) zinniasill.Reason {
+	switch {
+	case !t.need.Within(s.announced.Capacity):
+		return zinniasill.ReasonTooLarge
+	case t.label != "" && !slices.Contains(s.announced.Labels, t.label):
+		return zinniasill.ReasonNoEndpoint
+	default:
+		return ""
+	}
+}
+
 // maxQueuedWait is the longest expected wait with which a task is queued. Its entry chose
 // this agent by a report that may be out of date, and can place the task elsewhere in two
 // network round trips.
@@ -139,6 +153,11 @@
 		}
 		t := s.queue[at]
 		s.queue = slices.Delete(s.queue, at, at+1)
+		if reason := s.misfit(t); reason != "" {
+			// The endpoint has changed since the task was ordered and requeued.
+			s.close(t, eventDrop, message.RunReturned, reason)
+			continue
+		}
 		s.orderStart(now, t)
 	}
 }
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -59,6 +59,8 @@
 	Priority int `cbor:"7,keyasint,omitempty"`
 	// Slack is the time after which a start is too late to meet the job's objective.
 	Slack time.Duration `cbor:"8,keyasint,omitempty"`
+	// Label, if set, must be one of the endpoint's labels when the task starts.
+	Label string `cbor:"9,keyasint,omitempty"`
 }
 
 // AssignedTask is one task of a JobOffer.
--- a/executor.go
+++ b/executor.go
@@ -76,6 +76,9 @@
 	// OrderUnreachable means that nothing listens at the endpoint's address, so the
 	// order was not carried out.
 	OrderUnreachable OrderOutcome = "unreachable"
+	// OrderNotSent means that the order was not sent, because no connection to the addressed
+	// incarnation was established in time.
+	OrderNotSent OrderOutcome = "not-sent"
 	// OrderNoAnswer means that no answer arrived. The order may be carried out, now or
 	// later.
 	OrderNoAnswer OrderOutcome = "no-answer"
--- /dev/null
+++ b/io/endpoint/confirm.go
@@ -0,0 +1,167 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinniasill"
+)
+
+// ErrOtherIncarnation is returned for a request whose connection leads to another
+// incarnation of the endpoint than the request is addressed to. Nothing was sent.
+var ErrOtherIncarnation = errors.New("another incarnation of the endpoint listens at its address")
+
+// confirmTimeout is the maximum time from the opening of a connection to the answer that
+// identifies the endpoint.
+const confirmTimeout = time.Second
+
+// maxIdentityBytes is the maximum size of the body of that answer.
+const maxIdentityBytes = 4 << 20
+
+// Exchange sends a request over one connection and returns the response, with its whole body
+// read.
+type Exchange func(request *http.Request) (*http.Response, error)
+
+// ConfirmedConfig configures a Confirmed. All fields are required.
+type ConfirmedConfig struct {
+	// Transport holds the limits of the connections. Its DialContext is set by NewConfirmed.
+	Transport *http.Transport
+	// Identify asks the endpoint at the other end of a new connection which incarnation it
+	// is, on behalf of a request to the given one. An endpoint that does not tell its start
+	// has StartedMillis 0, which counts as any.
+	Identify func(ctx context.Context, exchange Exchange, addressed zinniasill.EndpointIncarnation) (zinniasill.EndpointIncarnation, error)
+}
+
+// Confirmed sends requests only to the incarnation of an endpoint that they are addressed
+// to. A connection ends with the process at its other end, so it is enough to ask once on
+// each new connection which incarnation that is. An address or an ID does not tell: after a
+// restart, another incarnation may have both. Use NewConfirmed.
+type Confirmed struct {
+	transport *http.Transport
+}
+
+// NewConfirmed returns a Confirmed without connections.
+func NewConfirmed(cfg ConfirmedConfig) *Confirmed {
+	transport := cfg.Transport.Clone()
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return dialConfirmed(ctx, network, address, cfg.Identify)
+	}
+	return &Confirmed{transport: transport}
+}
+
+// Do sends a request to an incarnation of the endpoint. sent is false if no byte of it was
+// sent.
+func (c *Confirmed) Do(
+	request *http.Request, addressed zinniasill.EndpointIncarnation,
+) (response *http.Response, sent bool, err error) {
+	delivery := &delivery{addressed: addressed}
+	response, err = c.transport.RoundTrip(request.WithContext(delivery.trace(request.Context())))
+	return response, delivery.sent.Load(), err
+}
+
+// delivery is the delivery of one request.
+type delivery struct {
+	addressed zinniasill.EndpointIncarnation
+	sent      atomic.Bool
+}
+
+// deliveryKey is the context key of the delivery for which a connection is opened.
+type deliveryKey struct{}
+
+// trace returns a context for the request that binds the delivery to the connection that the
+// transport picks. The transport may pick another one if nothing was sent.
+func (d *delivery) trace(ctx context.Context) context.Context {
+	ctx = context.WithValue(ctx, deliveryKey{}, d)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*confirmedConn); ok {
+			conn.next.Store(d)
+		}
+	}})
+}
+
+// confirmedConn is a connection to a known incarnation of an endpoint.
+type confirmedConn struct {
+	net.Conn
+	incarnation zinniasill.EndpointIncarnation
+	// next is the delivery whose first byte is the next to be written.
+	next atomic.Pointer[delivery]
+}
+
+// Write implements net.Conn. It refuses the first byte of a request to another incarnation.
+func (c *confirmedConn) Write(data []byte) (int, error) {
+	if d := c.next.Swap(nil); d != nil {
+		if !c.leadsTo(d.addressed) {
+			return 0, ErrOtherIncarnation
+		}
+		d.sent.Store(true)
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *confirmedConn) leadsTo(addressed zinniasill.EndpointIncarnation) bool {
+	started := c.incarnation.StartedMillis
+	return c.incarnation.ID == addressed.ID && (started == 0 || started == addressed.StartedMillis)
+}
+
+// dialConfirmed opens a TCP connection and asks which incarnation is at its other end.
+func dialConfirmed(
+	ctx context.Context, network, address string,
+	identify func(context.Context, Exchange, zinniasill.EndpointIncarnation) (zinniasill.EndpointIncarnation, error),
+) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	keep := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	var addressed zinniasill.EndpointIncarnation
+	if d, ok := ctx.Value(deliveryKey{}).(*delivery); ok {
+		addressed = d.addressed
+	}
+	incarnation, err := identify(ctx, exchangeOn(conn), addressed)
+	if !keep() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &confirmedConn{Conn: conn, incarnation: incarnation}, nil
+}
+
+// exchangeOn returns an Exchange on a connection, which can be used for further requests
+// after a response without an error.
+func exchangeOn(conn net.Conn) Exchange {
+	return func(request *http.Request) (*http.Response, error) {
+		if err := request.Write(conn); err != nil {
+			return nil, eris.Wrap(err, "ask an endpoint for its incarnation")
+		}
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, eris.Wrap(err, "read the incarnation of an endpoint")
+		}
+		defer func() { _ = response.Body.Close() }()
+		content, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes+1))
+		switch {
+		case err != nil:
+			return nil, eris.Wrap(err, "read the incarnation of an endpoint")
+		case len(content) > maxIdentityBytes || reader.Buffered() > 0 || response.Close:
+			return nil, eris.New("the connection to the endpoint cannot be used after its first response")
+		}
+		response.Body = io.NopCloser(bytes.NewReader(content))
+		return response, nil
+	}
+}
