Keep the locks of an entry that others still hear

What callers would see (TWICE): two entries work on the same job.

Cause: a home takes an entry that it does not hear for one that has ended. It may be only the path between the two that is gone, as in a cut between two failure domains that a third one reaches.

Change: an entry whose home falls silent tells all entries that answer of the locks that it holds there, no longer only the next home, which may be cut off as well. Before a home passes on the locks of an entry that it no longer hears, it asks all others whether they hear it (LockInquiry). It keeps the locks that one of them knows as wanted, and asks again. Entries that do not answer within 200 ms have nothing to tell.

Ruled out: a quorum of homes for each lock, three times the messages for each job. To end the jobs of an entry that cannot reach a home: each end of an entry would end jobs of all others.

What remains: an entry that requests a lock while it is cut off gets it from another home than those that are not.

--- a/core/joblock/home_change_test.go
+++ b/core/joblock/home_change_test.go
@@ -80,3 +80,46 @@
 		t.Errorf("%d of 30 locks have two holders, first: %s", len(c.violations), c.violations[0])
 	}
 }
+
+// TestHolderCutOffFromDomain guards against a second holder of a lock whose first holder is cut
+// off from a whole failure domain, with the homes there, while entries of a third domain reach
+// both. It also guards against a lock that is not passed on once it is released, or once its
+// holder has ended.
+func TestHolderCutOffFromDomain(t *testing.T) {
+	tests := map[string]struct {
+		end    func(c *cluster, job string)
+		within time.Duration
+	}{
+		"released":     {end: func(c *cluster, job string) { c.release(0, job) }, within: 600 * time.Millisecond},
+		"holder ended": {end: func(c *cluster, _ string) { c.kill(0) }, within: 1800 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(6) // two entries in each of three domains
+			for i := range 30 {
+				c.entries[0].Acquire(c.now, fmt.Sprintf("job-%d", i))
+			}
+			c.run(50 * time.Millisecond)
+			domain := func(id zinniasill.NodeID) int { return int(id[len(id)-1]-'0') / 2 }
+			c.drop = func(from, to zinniasill.NodeID) bool { return domain(from)+domain(to) == 2 && domain(from) != 1 }
+			c.run(1500 * time.Millisecond)
+			for i := range 30 {
+				c.entries[2].Acquire(c.now, fmt.Sprintf("job-%d", i))
+			}
+			c.run(time.Second)
+			if len(c.violations) > 0 {
+				t.Fatalf("%d of 30 locks have two holders, first: %s", len(c.violations), c.violations[0])
+			}
+			for i := range 30 {
+				tt.end(c, fmt.Sprintf("job-%d", i))
+			}
+			c.run(tt.within)
+			if granted := len(c.entries[2].holds); granted != 30 {
+				t.Errorf("%d of 30 locks passed on", granted)
+			}
+			if len(c.violations) > 0 {
+				t.Errorf("violations: %v", c.violations)
+			}
+		})
+	}
+}
--- a/core/joblock/locks.go
+++ b/core/joblock/locks.go
@@ -179,6 +179,10 @@
 		if body.Entry == l.cfg.Self.Incarnation {
 			l.handleReply(now, env.From.ID, body)
 		}
+	case message.LockInquiry:
+		l.answerInquiry(now, env.From.ID, body)
+	case message.LockInquiryReply:
+		l.table.handleInquiryReply(env.From.ID, body)
 	default:
 		return false
 	}
@@ -267,7 +271,7 @@
 
 // Tick performs the work that is due at the given time.
 func (l *Locks) Tick(now time.Time) {
-	for _, reply := range l.table.expire(now) {
+	for _, reply := range l.table.expire(now, l.others()) {
 		l.send(now, reply.to, reply.body)
 	}
 	for _, h := range l.homes {
@@ -290,7 +294,7 @@
 	h.silent = true
 	l.record("lock-home-silent", slog.String("home", string(h.id)), slog.Int("jobs", len(h.wanted)),
 		slog.Duration("silent", now.Sub(h.heardAt)))
-	l.tellNextHomes(now, h)
+	l.tellOthers(now, h)
 	for _, r := range slices.Clone(h.wanted) {
 		if !r.granted {
 			l.move(now, r)
@@ -298,6 +302,21 @@
 	}
 }
 
+// tellOthers tells all entries that answer of the locks held at a silent home. If only this
+// entry cannot reach the home, the home asks them before it grants the locks to others.
+func (l *Locks) tellOthers(now time.Time, h *home) {
+	for _, r := range slices.Clone(h.wanted) {
+		if !r.granted {
+			continue
+		}
+		for _, c := range l.entries {
+			if other := l.home(c.id); !other.silent && !slices.Contains(r.homes, other) {
+				r.assign(now, other)
+			}
+		}
+	}
+}
+
 // Flush prepares the messages that are due.
 func (l *Locks) Flush(now time.Time) {
 	for _, h := range l.homes {
--- a/core/joblock/table.go
+++ b/core/joblock/table.go
@@ -9,16 +9,22 @@
 	"zinniasill/core/message"
 )
 
-// holderTimeout is the time without a message from an entry after which its locks expire. It
-// covers a heartbeat, the entry's lease at agents, and the time until runs that cannot be
-// stopped have expired.
-const holderTimeout = 1200 * time.Millisecond
+const (
+	// holderTimeout is the time without a message from an entry after which its locks expire,
+	// unless others still hear it. It covers a heartbeat, the entry's lease at agents, and the
+	// time until runs that cannot be stopped have expired.
+	holderTimeout = 1200 * time.Millisecond
+	// inquiryTimeout is the time in which the other entries tell whether they still hear an
+	// entry. An entry that does not answer has nothing to tell.
+	inquiryTimeout = 200 * time.Millisecond
+)
 
 // table holds the locks that one entry grants as their home.
 type table struct {
-	self   zinniasill.Node
-	locks  map[string]*lock // by job
-	owners map[zinniasill.Incarnation]*owner
+	self      zinniasill.Node
+	locks     map[string]*lock // by job
+	owners    map[zinniasill.Incarnation]*owner
+	inquiries uint64 // number of the last inquiry
 }
 
 // lock is the lock of one job. Its first claim is that of the holder; the others wait.
@@ -39,12 +45,14 @@
 	sequence    uint64 // of the newest message
 	last        uint64 // number of its last request
 	heardAt     time.Time
+	// inquiry is the last one about this owner since it was heard, nil if there is none.
+	inquiry *inquiry
 }
 
-// reply is a message to an owner.
-type reply struct {
+// outgoing is a message to another entry.
+type outgoing struct {
 	to   zinniasill.NodeID
-	body message.LockReply
+	body any
 }
 
 func newTable(self zinniasill.Node) *table {
@@ -53,13 +61,14 @@
 
 // update replaces the claims of an entry. It returns the answer, and messages to the entries
 // that locks have passed to.
-func (t *table) update(now time.Time, from zinniasill.NodeID, request message.LockRequest) []reply {
+func (t *table) update(now time.Time, from zinniasill.NodeID, request message.LockRequest) []outgoing {
 	o := t.owners[request.Entry]
 	if o == nil {
 		o = &owner{id: from, incarnation: request.Entry}
 		t.owners[request.Entry] = o
 	}
 	o.heardAt = now
+	o.inquiry = nil
 	if request.Sequence <= o.sequence {
 		return nil // A later message has overtaken it.
 	}
@@ -117,17 +126,17 @@
 }
 
 // replies returns one reply for each of the owners.
-func (t *table) replies(owners []*owner) []reply {
-	var replies []reply
+func (t *table) replies(owners []*owner) []outgoing {
+	var messages []outgoing
 	for i, o := range owners {
 		if slices.Contains(owners[:i], o) {
 			continue
 		}
-		replies = append(replies, reply{to: o.id, body: message.LockReply{
+		messages = append(messages, outgoing{to: o.id, body: message.LockReply{
 			Entry: o.incarnation, Sequence: o.sequence, Last: o.last, Granted: t.heldBy(o), Home: t.self.Incarnation,
 		}})
 	}
-	return replies
+	return messages
 }
 
 // heldBy returns the numbers of the locks that an owner holds.
@@ -141,19 +150,3 @@
 	slices.Sort(held)
 	return held
 }
-
-// expire drops the claims of owners that are no longer heard. It returns messages to the
-// entries that locks have passed to.
-func (t *table) expire(now time.Time) []reply {
-	expired := map[*owner]bool{}
-	for incarnation, o := range t.owners {
-		if now.Sub(o.heardAt) > holderTimeout {
-			expired[o] = true
-			delete(t.owners, incarnation)
-		}
-	}
-	if len(expired) == 0 {
-		return nil
-	}
-	return t.replies(t.drop(func(c claim) bool { return expired[c.owner] }))
-}
--- a/core/message/joblock.go
+++ b/core/message/joblock.go
@@ -37,3 +37,25 @@
 	// Home is the incarnation of the sending home.
 	Home zinniasill.Incarnation `cbor:"5,keyasint"`
 }
+
+// LockInquiry asks an entry which locks another entry, which the sender no longer hears, still
+// wants or holds.
+type LockInquiry struct {
+	// Home is the incarnation of the sending home, Number that of the inquiry.
+	Home   zinniasill.Incarnation `cbor:"1,keyasint"`
+	Number uint64                 `cbor:"2,keyasint"`
+	// Owner is the incarnation of the entry that is no longer heard.
+	Owner zinniasill.Incarnation `cbor:"3,keyasint"`
+	Jobs  []string               `cbor:"4,keyasint"`
+}
+
+// LockInquiryReply answers a LockInquiry.
+type LockInquiryReply struct {
+	// Home, Number and Owner are those of the LockInquiry.
+	Home   zinniasill.Incarnation `cbor:"1,keyasint"`
+	Number uint64                 `cbor:"2,keyasint"`
+	Owner  zinniasill.Incarnation `cbor:"3,keyasint"`
+	// Wanted are the jobs of the inquiry whose locks the owner wants or holds, as far as the
+	// sender knows from the owner itself.
+	Wanted []string `cbor:"4,keyasint,omitempty"`
+}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -70,6 +70,8 @@
 		{Number: 37, Sample: message.Progress{}},
 		{Number: 38, Sample: message.LockRequest{}},
 		{Number: 39, Sample: message.LockReply{}},
+		{Number: 40, Sample: message.LockInquiry{}},
+		{Number: 41, Sample: message.LockInquiryReply{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: ClassBulk},
 		{Number: 20, Sample: message.HandoverPart{}, Class: ClassBulk},
 		{Number: 21, Sample: message.HandoverAck{}},
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -82,6 +82,8 @@
 	anyOf[message.Progress](),
 	anyOf[message.LockRequest](),
 	anyOf[message.LockReply](),
+	anyOf[message.LockInquiry](),
+	anyOf[message.LockInquiryReply](),
 }
 
 // bundle generates a bundle of two other bodies.
