Play replacements of replicas beside cuts, restarts and lost disks

TestReplacementsUnderFaults: 30 histories of 12 faults each, with 2% of the messages lost and repeated. Checks that entries do not diverge, that proposals are accepted, and that the voters are those that run.

--- a/core/consensus/membership_test.go
+++ b/core/consensus/membership_test.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -235,6 +237,48 @@
 	c.commit(c.procs[cut], 3)
 }
 
+// TestReplacementsUnderFaults guards against lost or diverging entries, and against a group
+// that is stuck, while replicas are replaced, cut off, restarted and lose their disks. The
+// cluster itself checks the applied entries and that each term has one leader.
+func TestReplacementsUnderFaults(t *testing.T) {
+	const histories, rounds = 30, 12
+	for seed := range uint64(histories) {
+		c := openCluster(t, 100+seed)
+		c.names = append(c.names, "d", "e")
+		c.lossRate, c.duplicateRate = 0.02, 0.02
+		running := slices.Clone(c.names)
+		for round := range rounds {
+			at := c.rand.IntN(len(running))
+			victim := running[at]
+			switch c.rand.IntN(4) {
+			case 0, 1:
+				successor := zinniasill.NodeID(fmt.Sprintf("n%d", round))
+				c.replace(victim, successor, c.rand.IntN(2) == 0)
+				c.names = append(c.names, successor)
+				running[at] = successor
+			case 2:
+				for _, other := range running {
+					c.setBlocked(victim, other, true)
+					c.setBlocked(other, victim, true)
+				}
+				c.run(time.Duration(c.rand.IntN(4)) * time.Second)
+				clear(c.blocked)
+			case 3:
+				c.loseDisk(victim)
+			}
+			c.run(time.Duration(c.rand.IntN(1000)) * time.Millisecond)
+			c.commit(c.procs[running[c.rand.IntN(len(running))]], 2)
+			// Each fault is over before the next one: all that run are voters again.
+			c.runUntil("the voters to be those that run", 20*time.Second, func() bool {
+				leader := c.leader()
+				return leader != nil && !slices.ContainsFunc(running, func(name zinniasill.NodeID) bool {
+					return !leader.replica.membership().IsVoter(c.procs[name].member.Node())
+				}) && len(leader.replica.membership().Voters) == len(running)
+			})
+		}
+	}
+}
+
 // TestNoRemovalWithoutSuccessor guards against the removal of voters that are down for a
 // while: the disks that hold each entry would become fewer.
 func TestNoRemovalWithoutSuccessor(t *testing.T) {
