--- a/core/dispatch/withdrawal.go
+++ b/core/dispatch/withdrawal.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -104,10 +105,14 @@
 // abortPostponed aborts the jobs that have waited too long for a lock or for the tasks of a
 // former submission, so that their answers would be too late to be useful.
 func (d *Dispatcher) abortPostponed(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
-		j := d.jobs[id]
+	var overdue []*job
+	for _, j := range d.jobs {
 		if !j.taken && now.Sub(j.arrivedAt) > overdueFactor*j.targetTime {
-			d.abort(now, j, zinniasill.ReasonBusy)
+			overdue = append(overdue, j)
 		}
 	}
+	slices.SortFunc(overdue, func(a, b *job) int { return cmp.Compare(a.ID, b.ID) })
+	for _, j := range overdue {
+		d.abort(now, j, zinniasill.ReasonBusy)
+	}
 }
--- a/core/executor/incarnation.go
+++ b/core/executor/incarnation.go
@@ -81,7 +81,7 @@
 func (s *Supervisor) beginIncarnation(now time.Time, announcement Announcement) {
 	s.recordRestart(now, announcement.Incarnation)
 	s.loseRuns(now, s.sortedActive(), zinniasill.ReasonEndpointLost, "endpoint-restarted")
-	s.fence = max(s.fence+1, uint64(announcement.Clock/time.Millisecond))
+	s.advanceFence(announcement.Clock)
 	s.setIncarnation(announcement.Incarnation)
 	s.announced = Announcement{}
 	clear(s.runs)
@@ -147,7 +147,7 @@
 	s.recordRestart(now, current)
 	s.loseRuns(now, s.runsNotIn(pending.issued, result), zinniasill.ReasonEndpointLost, "endpoint-restarted")
 	candidate, extendedAt := s.candidate, s.lastExtension()
-	s.fence = max(s.fence+1, uint64(result.Clock/time.Millisecond))
+	s.advanceFence(result.Clock)
 	s.setIncarnation(current)
 	s.lease.extendedAt = extendedAt
 	for id, call := range s.pendingCalls {
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -22,6 +22,12 @@
 	failures   int
 }
 
+// retryPause returns the time until the next attempt after renewals without an answer. The
+// first attempts come sooner, because most renewals are lost one at a time.
+func (l *leaseState) retryPause() time.Duration {
+	return min(time.Duration(l.failures)*pollInterval, unreachableRetryDelay)
+}
+
 // maxCompletions is the length from which a list of completions may be truncated.
 const maxCompletions = 500
 
@@ -57,7 +63,7 @@
 // probe asks for an answer after a failed renewal. Probes follow one another without waiting
 // for the answer to the former, since that may be lost or only late.
 func (s *Supervisor) probe(now time.Time) {
-	pause := min(time.Duration(s.lease.failures)*pollInterval, unreachableRetryDelay)
+	pause := s.lease.retryPause()
 	s.lease.failures++
 	s.lease.retryAt = now.Add(s.responses.timeout() + pause)
 	s.issueRenewal(now, Call{Timeout: probeTimeout, probe: true}, 0)
@@ -177,8 +183,7 @@
 		slog.Duration("after", now.Sub(issued)), slog.Int("running", len(s.active)))
 	pause := unreachableRetryDelay
 	if outcome == zinniasill.OrderNoAnswer {
-		// The first retries come sooner, because most renewals are lost one at a time.
-		pause = min(time.Duration(s.lease.failures)*pollInterval, unreachableRetryDelay)
+		pause = s.lease.retryPause()
 	}
 	s.lease.retryAt = now.Add(pause)
 	s.expireLease(now)
@@ -239,6 +244,12 @@
 	if s.fence < maxDoubledFence {
 		s.fence *= 2
 	}
+	s.advanceFence(clock)
+}
+
+// advanceFence raises the fencing token, at least to a reading of the endpoint's clock: it is
+// then above those of earlier processes.
+func (s *Supervisor) advanceFence(clock time.Duration) {
 	s.fence = max(s.fence+1, uint64(clock/time.Millisecond))
 }
 
--- a/core/joblock/home_change_test.go
+++ b/core/joblock/home_change_test.go
@@ -8,6 +8,20 @@
 	"zinniasill"
 )
 
+// lockCount is the number of locks in a test, enough for each entry to be the home of some.
+const lockCount = 30
+
+func jobName(i int) string {
+	return fmt.Sprintf("job-%d", i)
+}
+
+// acquire requests all locks for an entry.
+func (c *cluster) acquire(i int) {
+	for job := range lockCount {
+		c.entries[i].Acquire(c.now, jobName(job))
+	}
+}
+
 // setEntries tells the entries in the list of all entries to each of the given ones.
 func setEntries(c *cluster, members ...int) {
 	var ids []zinniasill.NodeID
@@ -42,21 +56,17 @@
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(3)
 			setEntries(c, tt.before...)
-			for i := range 30 {
-				c.entries[0].Acquire(c.now, fmt.Sprintf("job-%d", i))
-			}
+			c.acquire(0)
 			c.run(50 * time.Millisecond)
-			if len(c.entries[0].holds) != 30 {
-				t.Fatalf("%d of 30 locks granted", len(c.entries[0].holds))
+			if len(c.entries[0].holds) != lockCount {
+				t.Fatalf("%d of %d locks granted", len(c.entries[0].holds), lockCount)
 			}
 			tt.disturb(c)
 			c.run(1500 * time.Millisecond)
-			for i := range 30 {
-				c.entries[1].Acquire(c.now, fmt.Sprintf("job-%d", i))
-			}
+			c.acquire(1)
 			c.run(time.Second)
 			if len(c.violations) > 0 {
-				t.Errorf("%d of 30 locks have two holders, first: %s", len(c.violations), c.violations[0])
+				t.Errorf("%d of %d locks have two holders, first: %s", len(c.violations), lockCount, c.violations[0])
 			}
 		})
 	}
@@ -66,18 +76,14 @@
 // longer reach the home that granted it, while others can.
 func TestHolderCutOffFromHome(t *testing.T) {
 	c := newCluster(3)
-	for i := range 30 {
-		c.entries[0].Acquire(c.now, fmt.Sprintf("job-%d", i))
-	}
+	c.acquire(0)
 	c.run(50 * time.Millisecond)
 	c.drop = func(from, to zinniasill.NodeID) bool { return from == "entry-0" && to == "entry-2" }
 	c.run(1500 * time.Millisecond)
-	for i := range 30 {
-		c.entries[1].Acquire(c.now, fmt.Sprintf("job-%d", i))
-	}
+	c.acquire(1)
 	c.run(time.Second)
 	if len(c.violations) > 0 {
-		t.Errorf("%d of 30 locks have two holders, first: %s", len(c.violations), c.violations[0])
+		t.Errorf("%d of %d locks have two holders, first: %s", len(c.violations), lockCount, c.violations[0])
 	}
 }
 
@@ -96,26 +102,22 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(6) // two entries in each of three domains
-			for i := range 30 {
-				c.entries[0].Acquire(c.now, fmt.Sprintf("job-%d", i))
-			}
+			c.acquire(0)
 			c.run(50 * time.Millisecond)
 			domain := func(id zinniasill.NodeID) int { return int(id[len(id)-1]-'0') / 2 }
 			c.drop = func(from, to zinniasill.NodeID) bool { return domain(from)+domain(to) == 2 && domain(from) != 1 }
 			c.run(1500 * time.Millisecond)
-			for i := range 30 {
-				c.entries[2].Acquire(c.now, fmt.Sprintf("job-%d", i))
-			}
+			c.acquire(2)
 			c.run(time.Second)
 			if len(c.violations) > 0 {
-				t.Fatalf("%d of 30 locks have two holders, first: %s", len(c.violations), c.violations[0])
+				t.Fatalf("%d of %d locks have two holders, first: %s", len(c.violations), lockCount, c.violations[0])
 			}
-			for i := range 30 {
-				tt.end(c, fmt.Sprintf("job-%d", i))
+			for i := range lockCount {
+				tt.end(c, jobName(i))
 			}
 			c.run(tt.within)
-			if granted := len(c.entries[2].holds); granted != 30 {
-				t.Errorf("%d of 30 locks passed on", granted)
+			if granted := len(c.entries[2].holds); granted != lockCount {
+				t.Errorf("%d of %d locks passed on", granted, lockCount)
 			}
 			if len(c.violations) > 0 {
 				t.Errorf("violations: %v", c.violations)
--- a/core/joblock/locks.go
+++ b/core/joblock/locks.go
@@ -277,11 +277,21 @@
 	for _, h := range l.homes {
 		l.checkAnswer(now, h)
 	}
-	for _, job := range slices.Sorted(maps.Keys(l.wanted)) {
-		if r := l.wanted[job]; !r.granted {
-			l.move(now, r)
+	for _, r := range l.waiting() {
+		l.move(now, r)
+	}
+}
+
+// waiting returns the requests that are not granted, by number.
+func (l *Locks) waiting() []*request {
+	var waiting []*request
+	for _, r := range l.wanted {
+		if !r.granted {
+			waiting = append(waiting, r)
 		}
 	}
+	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.number, b.number) })
+	return waiting
 }
 
 // checkAnswer detects a home that does not answer. Its requests go to their next homes; if
--- a/core/joblock/table.go
+++ b/core/joblock/table.go
@@ -1,7 +1,6 @@
 package joblock
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -94,18 +93,25 @@
 	return t.drop(func(c claim) bool { return c.owner == o && !numbers[c.number] })
 }
 
-// drop removes the claims that match, and returns the owners that locks have passed to.
+// drop removes the claims that match, and returns the owners that locks have passed to, in the
+// order of the jobs.
 func (t *table) drop(match func(c claim) bool) []*owner {
+	var affected []string
+	for job, k := range t.locks {
+		if slices.ContainsFunc(k.claims, match) {
+			affected = append(affected, job)
+		}
+	}
+	slices.Sort(affected)
 	var passed []*owner
-	for _, job := range slices.Sorted(maps.Keys(t.locks)) {
+	for _, job := range affected {
 		k := t.locks[job]
 		holder := k.claims[0]
 		k.claims = slices.DeleteFunc(k.claims, match)
-		if len(k.claims) == 0 {
+		switch {
+		case len(k.claims) == 0:
 			delete(t.locks, job)
-			continue
-		}
-		if k.claims[0] != holder {
+		case k.claims[0] != holder:
 			passed = append(passed, k.claims[0].owner)
 		}
 	}
--- a/io/endpoint/confirm.go
+++ b/io/endpoint/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,12 +24,17 @@
 // identifies the endpoint.
 const confirmTimeout = time.Second
 
-// maxIdentityBytes is the maximum size of the body of that answer.
-const maxIdentityBytes = 4 << 20
+// maxAnswerBytes is the maximum size of the body of an answer.
+const maxAnswerBytes = 4 << 20
 
-// Exchange sends a request over one connection and returns the response, with its whole body
-// read.
-type Exchange func(request *http.Request) (*http.Response, error)
+// Answer is a response with its whole body.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Exchange sends a request over one connection and returns the answer.
+type Exchange func(request *http.Request) (Answer, error)
 
 // ConfirmedConfig configures a Confirmed. All fields are required.
 type ConfirmedConfig struct {
@@ -63,10 +67,28 @@
 // sent.
 func (c *Confirmed) Do(
 	request *http.Request, addressed zinniasill.EndpointIncarnation,
-) (response *http.Response, sent bool, err error) {
-	delivery := &delivery{addressed: addressed}
-	response, err = c.transport.RoundTrip(request.WithContext(delivery.trace(request.Context())))
-	return response, delivery.sent.Load(), err
+) (answer Answer, sent bool, err error) {
+	d := &delivery{addressed: addressed}
+	response, err := c.transport.RoundTrip(request.WithContext(d.trace(request.Context())))
+	if err != nil {
+		return Answer{}, d.sent.Load(), err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err = readAnswer(response)
+	return answer, true, err
+}
+
+// readAnswer reads the whole body of a response.
+func readAnswer(response *http.Response) (Answer, error) {
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return Answer{}, eris.Wrap(err, "read the answer of an endpoint")
+	case len(content) > maxAnswerBytes:
+		return Answer{}, eris.Errorf("the answer of an endpoint is larger than %d bytes", maxAnswerBytes)
+	default:
+		return Answer{Status: response.StatusCode, Body: content}, nil
+	}
 }
 
 // delivery is the delivery of one request.
@@ -142,26 +164,22 @@
 }
 
 // exchangeOn returns an Exchange on a connection, which can be used for further requests
-// after a response without an error.
+// after an answer without an error.
 func exchangeOn(conn net.Conn) Exchange {
-	return func(request *http.Request) (*http.Response, error) {
+	return func(request *http.Request) (Answer, error) {
 		if err := request.Write(conn); err != nil {
-			return nil, eris.Wrap(err, "ask an endpoint for its incarnation")
+			return Answer{}, eris.Wrap(err, "ask an endpoint for its incarnation")
 		}
 		reader := bufio.NewReader(conn)
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
-			return nil, eris.Wrap(err, "read the incarnation of an endpoint")
+			return Answer{}, eris.Wrap(err, "read the incarnation of an endpoint")
 		}
 		defer func() { _ = response.Body.Close() }()
-		content, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes+1))
-		switch {
-		case err != nil:
-			return nil, eris.Wrap(err, "read the incarnation of an endpoint")
-		case len(content) > maxIdentityBytes || reader.Buffered() > 0 || response.Close:
-			return nil, eris.New("the connection to the endpoint cannot be used after its first response")
+		answer, err := readAnswer(response)
+		if err == nil && (reader.Buffered() > 0 || response.Close) {
+			err = eris.New("the connection to the endpoint cannot be used after its first answer")
 		}
-		response.Body = io.NopCloser(bytes.NewReader(content))
-		return response, nil
+		return answer, err
 	}
 }
