Log each change of the voters of control

The users' record showed replicas without a majority, and nothing in it told who the voters were. The line names them and the intended size.

--- a/io/node/control.go
+++ b/io/node/control.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -352,6 +353,9 @@
 	}
 	if !slices.Equal(status.Membership.Voters, before.Membership.Voters) {
 		c.server.SetReplicas(replicas(status.Membership))
+		c.cfg.Log.WithFields(logrus.Fields{
+			"voters": voterNames(status.Membership), "size": status.Membership.Size, "term": uint64(status.Term),
+		}).Info("control voters changed")
 	}
 	c.server.SetLeader(now, status.Leader)
 	if status.Role != before.Role || status.Leader != before.Leader || status.Phase != before.Phase {
@@ -389,6 +393,15 @@
 	}
 }
 
+// voterNames returns the names of the voting members, separated by spaces.
+func voterNames(membership consensus.Membership) string {
+	var names []string
+	for _, member := range membership.Voters {
+		names = append(names, string(member.Name))
+	}
+	return strings.Join(names, " ")
+}
+
 // replicas returns the voting members, as nodes are told about them.
 func replicas(membership consensus.Membership) []message.Replica {
 	list := make([]message.Replica, 0, len(membership.Voters))
