Check starts of both kinds by the gate that io/endpoint already had

A gate is a function now, and gatedConn carries any of them, and the incarnation that was asked for. The type Identify stood twice.

No change of behaviour; the tests are the same.

--- a/io/endpoint/confirm.go
+++ b/io/endpoint/confirm.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -36,14 +35,16 @@
 // Exchange sends a request over one connection and returns the answer.
 type Exchange func(request *http.Request) (Answer, error)
 
+// Identify asks the endpoint at the other end of a new connection which incarnation it is, on
+// behalf of a request to the given one. An endpoint that does not tell its start has
+// StartedMillis 0, which counts as any.
+type Identify func(ctx context.Context, exchange Exchange, addressed zinniasill.EndpointIncarnation) (zinniasill.EndpointIncarnation, error)
+
 // ConfirmedConfig configures a Confirmed. All fields are required.
 type ConfirmedConfig struct {
 	// Transport holds the limits of the connections. Its DialContext is set by NewConfirmed.
 	Transport *http.Transport
-	// Identify asks the endpoint at the other end of a new connection which incarnation it
-	// is, on behalf of a request to the given one. An endpoint that does not tell its start
-	// has StartedMillis 0, which counts as any.
-	Identify func(ctx context.Context, exchange Exchange, addressed zinniasill.EndpointIncarnation) (zinniasill.EndpointIncarnation, error)
+	Identify  Identify
 }
 
 // Confirmed sends requests only to the incarnation of an endpoint that they are addressed
@@ -69,7 +70,8 @@
 	request *http.Request, addressed zinniasill.EndpointIncarnation,
 ) (answer Answer, sent bool, err error) {
 	d := &delivery{addressed: addressed}
-	response, err := c.transport.RoundTrip(request.WithContext(d.trace(request.Context())))
+	ctx := withGate(context.WithValue(request.Context(), deliveryKey{}, d), d.check)
+	response, err := c.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return Answer{}, d.sent.Load(), err
 	}
@@ -100,46 +102,19 @@
 // deliveryKey is the context key of the delivery for which a connection is opened.
 type deliveryKey struct{}
 
-// trace returns a context for the request that binds the delivery to the connection that the
-// transport picks. The transport may pick another one if nothing was sent.
-func (d *delivery) trace(ctx context.Context) context.Context {
-	ctx = context.WithValue(ctx, deliveryKey{}, d)
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*confirmedConn); ok {
-			conn.next.Store(d)
-		}
-	}})
-}
-
-// confirmedConn is a connection to a known incarnation of an endpoint.
-type confirmedConn struct {
-	net.Conn
-	incarnation zinniasill.EndpointIncarnation
-	// next is the delivery whose first byte is the next to be written.
-	next atomic.Pointer[delivery]
-}
-
-// Write implements net.Conn. It refuses the first byte of a request to another incarnation.
-func (c *confirmedConn) Write(data []byte) (int, error) {
-	if d := c.next.Swap(nil); d != nil {
-		if !c.leadsTo(d.addressed) {
-			return 0, ErrOtherIncarnation
-		}
-		d.sent.Store(true)
+// check returns ErrOtherIncarnation if a connection leads to another incarnation. It is the
+// gate of the request.
+func (d *delivery) check(conn *gatedConn) error {
+	started := conn.incarnation.StartedMillis
+	if conn.incarnation.ID != d.addressed.ID || started != 0 && started != d.addressed.StartedMillis {
+		return ErrOtherIncarnation
 	}
-	return c.Conn.Write(data)
-}
-
-func (c *confirmedConn) leadsTo(addressed zinniasill.EndpointIncarnation) bool {
-	started := c.incarnation.StartedMillis
-	return c.incarnation.ID == addressed.ID && (started == 0 || started == addressed.StartedMillis)
+	d.sent.Store(true)
+	return nil
 }
 
 // dialConfirmed opens a TCP connection and asks which incarnation is at its other end.
-func dialConfirmed(
-	ctx context.Context, network, address string,
-	identify func(context.Context, Exchange, zinniasill.EndpointIncarnation) (zinniasill.EndpointIncarnation, error),
-) (net.Conn, error) {
+func dialConfirmed(ctx context.Context, network, address string, identify Identify) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -160,7 +135,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &confirmedConn{Conn: conn, incarnation: incarnation}, nil
+	return &gatedConn{Conn: conn, incarnation: incarnation}, nil
 }
 
 // exchangeOn returns an Exchange on a connection, which can be used for further requests
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -240,14 +240,14 @@
 	id := task.Key.String() + "/" + strconv.FormatUint(uint64(task.Index), 10)
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.RunTimeout)
 	defer cancel()
-	gate := &startGate{ctx: ctx, mayStart: e.cfg.MayStart}
-	request, ok := e.request(gate.trace(ctx), task, id)
+	start := &startGate{ctx: ctx, mayStart: e.cfg.MayStart}
+	request, ok := e.request(withGate(ctx, start.check), task, id)
 	if !ok {
 		return e.countFailure(reasonNoAnswer, "no endpoint has announced itself")
 	}
 	response, err := e.transport.RoundTrip(request)
 	switch {
-	case gate.denied():
+	case start.denied():
 		e.cfg.Counters.Inc(CounterFailedRuns, reasonMayNotStart)
 		return zinniasill.Outcome{Error: errNotStarted.Error(), Ran: zinniasill.NotRun}
 	case err != nil:
--- a/io/endpoint/gate.go
+++ b/io/endpoint/gate.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"zinniasill"
 )
 
 // errNotStarted is returned for the first write of a run that had no permission to start.
@@ -21,14 +23,12 @@
 	refused atomic.Bool
 }
 
-// trace returns a context for the request that installs the gate on the connection that
-// the transport picks.
-func (g *startGate) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*gatedConn); ok {
-			conn.gate.Store(g)
-		}
-	}})
+// check returns errNotStarted if the run may not start. It is the gate of the run's request.
+func (g *startGate) check(*gatedConn) error {
+	if !g.allow() {
+		return errNotStarted
+	}
+	return nil
 }
 
 // allow reports whether the run may start: it is neither cancelled nor refused by mayStart.
@@ -49,17 +49,35 @@
 	return g.refused.Load()
 }
 
+// gate is called immediately before the first byte of a request is written to a connection. If
+// it returns an error, nothing is written.
+type gate func(conn *gatedConn) error
+
+// withGate returns a context for a request that installs a gate on the connection that the
+// transport picks. The transport may pick another one if nothing was written.
+func withGate(ctx context.Context, check gate) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*gatedConn); ok {
+			conn.gate.Store(&check)
+		}
+	}})
+}
+
 // gatedConn is a connection to an endpoint whose next write is checked by its gate, if set.
 type gatedConn struct {
 	net.Conn
-	gate atomic.Pointer[startGate]
+	// incarnation is the one at the other end, as far as it has been asked.
+	incarnation zinniasill.EndpointIncarnation
+	gate        atomic.Pointer[gate]
 }
 
 // Write implements net.Conn. If the gate refuses the first write after it was installed,
-// nothing is written and the error is errNotStarted.
+// nothing is written and the error is that of the gate.
 func (c *gatedConn) Write(data []byte) (int, error) {
-	if gate := c.gate.Swap(nil); gate != nil && !gate.allow() {
-		return 0, errNotStarted
+	if check := c.gate.Swap(nil); check != nil {
+		if err := (*check)(c); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(data)
 }
