Look for lost owners of locks before sorting, and for a misfit once

Each tick of an entry sorted all owners of locks and listed all other entries, although a lost owner is rare; only lost ones are sorted now, and the others are listed for them. The agent asked twice for the reason that a task does not fit. No change of behaviour.

--- a/core/executor/queue.go
+++ b/core/executor/queue.go
@@ -91,13 +91,14 @@
 		return zinniasill.ReasonLeaving
 	case !s.acceptsWork(now):
 		return zinniasill.ReasonNoEndpoint
-	case s.misfit(t) != "":
-		return s.misfit(t)
-	case s.expectedWait(now, t) > maxQueuedWait:
+	}
+	if reason := s.misfit(t); reason != "" {
+		return reason
+	}
+	if s.expectedWait(now, t) > maxQueuedWait {
 		return zinniasill.ReasonOverload
-	default:
-		return ""
 	}
+	return ""
 }
 
 // misfit returns the reason for which the endpoint could not run a task even if it were idle,
--- a/core/joblock/inquiry.go
+++ b/core/joblock/inquiry.go
@@ -21,15 +21,19 @@
 // expire drops the claims of owners that are no longer heard. The locks of such an owner are
 // kept while another entry hears it, since it may be cut off from this home only. It returns
 // the messages to send.
-func (t *table) expire(now time.Time, others []zinniasill.NodeID) []outgoing {
+func (t *table) expire(now time.Time, others func() []zinniasill.NodeID) []outgoing {
 	t.cancelled.expire(now)
-	var messages []outgoing
-	byIncarnation := func(a, b *owner) int { return cmp.Compare(a.incarnation, b.incarnation) }
-	for _, o := range slices.SortedFunc(maps.Values(t.owners), byIncarnation) {
+	var lost []*owner
+	for _, o := range t.owners {
 		if t.lost(now, o) {
-			messages = append(messages, t.expireOwner(now, o, others)...)
+			lost = append(lost, o)
 		}
 	}
+	slices.SortFunc(lost, func(a, b *owner) int { return cmp.Compare(a.incarnation, b.incarnation) })
+	var messages []outgoing
+	for _, o := range lost {
+		messages = append(messages, t.expireOwner(now, o, others())...)
+	}
 	return messages
 }
 
--- a/core/joblock/locks.go
+++ b/core/joblock/locks.go
@@ -280,7 +280,7 @@
 
 // Tick performs the work that is due at the given time.
 func (l *Locks) Tick(now time.Time) {
-	for _, reply := range l.table.expire(now, l.others()) {
+	for _, reply := range l.table.expire(now, l.others) {
 		l.send(now, reply.to, reply.body)
 	}
 	for _, h := range l.homes {
