Add agents to the subset of an entry whose own are full

Cause: callers are hashed to entries, so the subset of one entry can be full while agents of others have free capacity; the entry refused jobs.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	"zinniasill/core/joblock"
 	"zinniasill/core/message"
 	"zinniasill/core/resource"
+	"zinniasill/core/subset"
 )
 
 // RequestID identifies the request of a caller that waits for an answer.
@@ -98,6 +99,8 @@
 	Self     zinniasill.Node
 	Domain   zinniasill.Domain
 	Recorder zinniasill.Recorder
+	// FixedSubset keeps the entry from adding agents to its subset under load.
+	FixedSubset bool
 }
 
 // Dispatcher owns the jobs of one entry. It is not safe for concurrent use. Use New.
@@ -106,6 +109,10 @@
 	// agents are those of the subset, and others that still have tasks or report.
 	agents       map[zinniasill.NodeID]*agent
 	sortedAgents []*agent // by id
+	// spare are the agents that are not in the subset, in the order in which widening adds
+	// them.
+	spare        []subset.Member
+	widening     subset.Widening
 	firstAgentAt time.Time
 	domainsOut   map[zinniasill.Domain]bool
 	jobs         map[string]*job
@@ -184,6 +191,9 @@
 			slog.Duration("patience", j.maxWait()), slog.Int("tasks", len(j.tasks)),
 			slog.Int("unplaced", len(d.unplaced)), slog.Int("agents", len(candidates)),
 			slog.Int64("configuration", int64(j.Configuration)))
+		if reason == zinniasill.ReasonOverload {
+			d.widening.Press(now)
+		}
 		d.refuse(now, j, reason, wait)
 		return
 	}
@@ -259,6 +269,7 @@
 		}
 	}
 	d.locks.Tick(now)
+	d.widen(now)
 	d.abortPostponed(now)
 	d.forgetUnused(now)
 	d.crashes.expire(now)
--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -43,6 +43,8 @@
 		}
 		a.inUse = inUse
 	}
+	d.setSpare(members, chosen)
+	d.useExtra(now)
 	if d.firstAgentAt.IsZero() && len(d.sortedAgents) > 0 {
 		d.firstAgentAt = now
 	}
--- a/internal/directmodel/simulation.go
+++ b/internal/directmodel/simulation.go
@@ -44,6 +44,8 @@
 	Domains int
 	// Capacity is the capacity of each endpoint, 10 cores if 0.
 	Capacity resource.Amount
+	// FixedSubset keeps entries from adding agents under load, see dispatch.Config.
+	FixedSubset bool
 	// Log, if set, is called for each decision with the time since the start.
 	Log func(at time.Duration, who, decision string, inputs []slog.Attr)
 }
@@ -217,6 +219,7 @@
 	e.Dispatcher = dispatch.New(dispatch.Config{
 		Self:   zinniasill.Node{ID: e.id, Incarnation: e.incarnation},
 		Domain: s.Domain(i), Recorder: recorder{sim: s, who: string(e.id)},
+		FixedSubset: s.cfg.FixedSubset,
 	})
 	e.SetMembers(s.Now, s.members)
 }
