End the back-off of a link when its peer opens a link to this process

Cause: attempts to reach a machine that is switched off lengthen the back-off of a link to up to 1 s. After a power loss two control replicas learned of the leader 0.26 and 0.28 s after their start, although they had contacted it before. Change: a hello of a peer ends the back-off of the link to it and resets it. Tests: TestContactEndsBackOff fails without the change. io/peer passes.

--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -199,7 +199,7 @@
 		}
 		i.certifiedNode = in.hello.From.ID
 	}
-	t.recordAddress(in.hello)
+	t.recordHello(in.hello)
 	i.conn.helloReceived.Store(true)
 	reply := frame{kind: frameHello, hello: hello{
 		Version: message.Version,
--- a/io/peer/outbound.go
+++ b/io/peer/outbound.go
@@ -46,6 +46,9 @@
 	pingDue   atomic.Bool
 	// conn is the connection of the link while it is up, nil otherwise.
 	conn atomic.Pointer[conn]
+	// reachable, of capacity 1, holds a value after the peer has opened a link to this
+	// process.
+	reachable chan struct{}
 }
 
 // run opens a link, and a new one after each that fails, until ctx ends or the queue is
@@ -71,11 +74,45 @@
 		if clock.Now().Sub(lastUp) > o.transport.cfg.UnreachableTimeout {
 			o.dropAll()
 		}
-		o.transport.sleep(ctx, o.transport.random.between(wait/2, wait))
+		contacted := o.backOff(ctx, o.transport.random.between(wait/2, wait))
 		if o.transport.removeIfIdle(o) {
 			return
 		}
 		wait = min(2*wait, backoffMax)
+		if contacted {
+			wait = backoffMin
+		}
+	}
+}
+
+// backOff waits for a duration, until ctx ends, or until the peer has opened a link to this
+// process, which it reports. A peer that has just started is thus reached at once, and not
+// after the back-off that it has caused while it was down.
+func (o *outbound) backOff(ctx context.Context, length time.Duration) (contacted bool) {
+	ticks, stop := o.transport.cfg.Clock.NewTicker(max(length, time.Nanosecond))
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-ticks:
+	case <-o.reachable:
+		return true
+	}
+	return false
+}
+
+// takeContact forgets that the peer has opened a link, because a link to it is up.
+func (o *outbound) takeContact() {
+	select {
+	case <-o.reachable:
+	default:
+	}
+}
+
+// contact tells the back-off that the peer has opened a link to this process.
+func (o *outbound) contact() {
+	select {
+	case o.reachable <- struct{}{}:
+	default:
 	}
 }
 
@@ -119,6 +156,7 @@
 	c.helloReceived.Store(true)
 	o.conn.Store(c)
 	defer o.conn.Store(nil)
+	o.takeContact()
 	t.cfg.Notify(LinkEvent{Peer: o.id, Address: address, State: StateUp})
 	return true, o.sendLoop(stream, c)
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -275,7 +275,7 @@
 	}
 	to := t.peers[id]
 	if to == nil {
-		to = &outbound{transport: t, id: id, queue: newQueue()}
+		to = &outbound{transport: t, id: id, queue: newQueue(), reachable: make(chan struct{}, 1)}
 		t.peers[id] = to
 		ctx := t.ctx
 		t.workers.Go(func() { to.run(ctx) })
@@ -314,14 +314,17 @@
 	return address, ok
 }
 
-// recordAddress stores the address advertised in a received hello.
-func (t *Transport) recordAddress(received hello) {
-	if received.Address == "" {
-		return
-	}
+// recordHello stores the address advertised in a received hello, and opens the link to its
+// sender at once if an attempt has failed.
+func (t *Transport) recordHello(received hello) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.advertised[received.From.ID] = received.Address
+	if received.Address != "" {
+		t.advertised[received.From.ID] = received.Address
+	}
+	if out := t.peers[received.From.ID]; out != nil {
+		out.contact()
+	}
 }
 
 // countDropped counts a dropped envelope.
