Learn the speed of each endpoint and place tasks by it

Cause: an entry took endpoints for alike whose run times differ by a factor of 2.4, so that long tasks ended late at the slow ones. While all fast ones were busy, tasks waited for them and blocked those behind them, although slow ones were free. Change: an agent estimates the lasting ratio of run time to estimate of its endpoint, with its uncertainty, and reports it as EndpointLoad.Speed (key 12). A difference counts only beyond three times its uncertainty; if none does, or none is reported, tasks are placed as before. A task goes to a free endpoint that meets its objective instead of waiting for a faster one, and one that waits does not block others. The decision line tasks-assigned has the speed and the runs it is based on.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -14,8 +14,9 @@
 	// yet know of each other's placements.
 	spreadPenalty = 20 * time.Millisecond
 	// slowdownTolerance is the multiple of the median slowdown up to which endpoints
-	// count as equally fast. Estimates for single tasks are rough, and waiting for a
-	// slightly faster endpoint makes jobs late.
+	// count as equally slowed down at present. Estimates for single tasks are rough, and
+	// waiting for a slightly faster endpoint makes jobs late. Lasting differences are
+	// those between the reported speeds.
 	slowdownTolerance = 1.5
 	// remoteDomainPenalty is the extra time counted for an agent in another failure
 	// domain, where messages take longer and traffic costs more.
@@ -37,6 +38,8 @@
 	// remoteDataFactor is the factor by which the run time of a task grows if its data
 	// is not at the endpoint.
 	remoteDataFactor = 1.5
+	// permille is the scale of ratios in load reports.
+	permille = 1000
 )
 
 // candidate is the expected load of one agent during a placement pass.
@@ -46,27 +49,36 @@
 	// freeCPU is the CPU that is neither in use nor assigned, in thousandths of a core.
 	freeCPU int64
 	queued  [message.Priorities]int64
-	// relativeSlowdown is the slowdown relative to the median of all agents.
-	relativeSlowdown float64
-	placed           map[*job]map[int]int
+	// runFactor is the expected ratio of run time to estimate, lastingFactor the same
+	// without the current slowdown.
+	runFactor, lastingFactor float64
+	// faster is set if the endpoint is one of the faster ones.
+	faster bool
+	pass   *placementPass
+	placed map[*job]map[int]int
 }
 
 // candidates returns the agents that may get tasks now.
 func (d *Dispatcher) candidates(now time.Time) []*candidate {
 	var candidates []*candidate
 	median := d.medianSlowdown()
+	d.compareSpeeds(now)
+	pass := &placementPass{now: now}
 	for _, a := range d.sortedAgents {
 		if !a.inUse || a.incarnation == 0 || !a.load.Accepting || d.domainsOut[a.domain] || !a.responsive(now) {
 			continue
 		}
-		c := &candidate{agent: a, local: a.domain == d.cfg.Domain, relativeSlowdown: 1}
+		c := &candidate{agent: a, local: a.domain == d.cfg.Domain, pass: pass, lastingFactor: d.speeds.runFactor(a)}
+		c.runFactor = c.lastingFactor
 		if a.load.Slowdown > 0 && median > 0 {
-			c.relativeSlowdown = float64(a.load.Slowdown) / float64(median)
+			slowdown := float64(a.load.Slowdown) / float64(median)
+			c.runFactor = max(c.lastingFactor, d.speeds.median*slowdown/slowdownTolerance)
 		}
 		copy(c.queued[:], a.load.Queued)
 		c.freeCPU = a.load.Capacity.MilliCPU - a.load.Used.MilliCPU - a.unreportedCPU()
 		candidates = append(candidates, c)
 	}
+	pass.rank(candidates)
 	return candidates
 }
 
@@ -86,19 +98,26 @@
 }
 
 // choose returns the candidate with the lowest cost for a task, nil if no candidate
-// fits.
+// fits. One with free capacity is preferred if the task meets its objective there.
 func choose(t *task, candidates []*candidate) *candidate {
-	var best *candidate
-	var least time.Duration
+	if len(candidates) == 0 {
+		return nil
+	}
+	pass := candidates[0].pass
+	yields := pass.yields(t)
+	var best, free option
 	for _, c := range candidates {
 		if !c.fits(t) {
 			continue
 		}
-		if cost := c.cost(t); best == nil || cost < least {
-			best, least = c, cost
+		wait := c.wait(t)
+		o := option{candidate: c, wait: wait, cost: wait + c.cost(t, yields)}
+		best = best.better(o)
+		if wait <= maxQueuedWait {
+			free = free.better(o)
 		}
 	}
-	return best
+	return pass.preferFree(t, best, free).candidate
 }
 
 func (c *candidate) fits(t *task) bool {
@@ -126,14 +145,22 @@
 	return count
 }
 
-// cost returns the expected time until a task placed here ends, plus penalties.
-func (c *candidate) cost(t *task) time.Duration {
+// cost returns the expected run time of a task placed here, plus penalties. A task that
+// yields leaves the faster endpoints to others.
+func (c *candidate) cost(t *task, yields bool) time.Duration {
 	step := t.job.Steps[t.step]
-	run := float64(step.Estimate) * max(c.relativeSlowdown/slowdownTolerance, 1)
+	factor := c.runFactor
+	if yields {
+		factor = max(factor, c.pass.slowest)
+	}
+	run := float64(step.Estimate) * factor
 	if step.NearLabel != "" && !slices.Contains(c.agent.load.Labels, step.NearLabel) {
 		run *= remoteDataFactor
 	}
-	cost := c.wait(t) + time.Duration(run)
+	cost := time.Duration(run)
+	if yields && c.faster {
+		cost += yieldPenalty
+	}
 	if capacity := c.agent.load.Capacity.MilliCPU; capacity > 0 {
 		used := 1 - float64(c.freeCPU)/float64(capacity)
 		cost += time.Duration(used * float64(spreadPenalty))
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -106,6 +106,8 @@
 	// NoWarmup makes admission ignore the capacity of agents that have not reported yet, for
 	// comparisons in tests.
 	NoWarmup bool
+	// IgnoreSpeed places tasks as if no agent reported a speed, for comparison in tests.
+	IgnoreSpeed bool
 }
 
 // Dispatcher owns the jobs of one entry. It is not safe for concurrent use. Use New.
@@ -136,6 +138,7 @@
 	// placement pass runs before nextPlacement.
 	placementDue  bool
 	nextPlacement time.Time
+	speeds        speeds
 	// assignment is the number of the last assignment of a task.
 	assignment uint64
 	replies    []Reply
--- a/core/dispatch/offer.go
+++ b/core/dispatch/offer.go
@@ -59,7 +59,8 @@
 		d.record("tasks-assigned", slog.String("job", g.job.ID), slog.String("agent", string(g.agent.id)),
 			slog.Int("step", g.step), slog.Int("tasks", len(offers[g].Tasks)),
 			slog.Duration("report-age", now.Sub(g.agent.lastReport)), slog.Int64("used", load.Used.MilliCPU),
-			slog.Int64("slowness", load.Slowdown), slog.Duration("after", now.Sub(g.job.arrivedAt)))
+			slog.Int64("slowness", load.Slowdown), slog.Int64("speed", load.Speed.RunRatio),
+			slog.Int64("speed-runs", load.Speed.Runs), slog.Duration("after", now.Sub(g.job.arrivedAt)))
 		g.agent.out.Push(message.Command{Offer: offers[g]})
 	}
 	for _, p := range placements {
--- a/core/executor/lists.go
+++ b/core/executor/lists.go
@@ -86,6 +86,7 @@
 	switch completion.Reason {
 	case zinniasill.CompletionDone:
 		s.stats.addSuccess(now, now.Sub(began), t.estimate)
+		s.stats.speed.add(now, t.id.Job, now.Sub(began), t.estimate)
 		s.close(t, eventEnd, message.RunDone, "")
 	case zinniasill.CompletionFailed:
 		s.stats.addFailure(now)
--- a/core/executor/load.go
+++ b/core/executor/load.go
@@ -18,6 +18,7 @@
 	// endpoint that gets no work because of its failures is tried again.
 	failureRate   float64
 	failureRateAt time.Time
+	speed         speed
 }
 
 const (
@@ -115,7 +116,7 @@
 	load := message.EndpointLoad{
 		Accepting: s.acceptsWork(now), Capacity: s.announced.Capacity, Used: s.used,
 		Kind: s.announced.Kind, Domain: s.cfg.Domain, Labels: s.announced.Labels,
-		FailureRate: int64(s.stats.failureRate * permille),
+		FailureRate: int64(s.stats.failureRate * permille), Speed: s.stats.speed.report(now),
 	}
 	slowdown := s.expectedSlowdown(now)
 	load.Slowdown = int64(slowdown * permille)
--- a/core/message/assign.go
+++ b/core/message/assign.go
@@ -156,6 +156,24 @@
 	// Waiting is the sum of the CPU required by tasks that wait at other entries, as
 	// they reported it, by priority.
 	Waiting []int64 `cbor:"11,keyasint,omitempty"`
+	// Speed is the lasting speed of the endpoint, the zero value if unknown.
+	Speed EndpointSpeed `cbor:"12,keyasint,omitzero"`
+}
+
+// EndpointSpeed is an agent's estimate of the lasting speed of its endpoint.
+type EndpointSpeed struct {
+	// RunRatio is the typical ratio of run time to estimate, in thousandths.
+	RunRatio int64 `cbor:"1,keyasint"`
+	// Uncertainty is the standard error of the natural logarithm of RunRatio, in
+	// thousandths.
+	Uncertainty int64 `cbor:"2,keyasint,omitempty"`
+	// Runs is the number of runs that the estimate is based on.
+	Runs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Known reports whether there is an estimate.
+func (s EndpointSpeed) Known() bool {
+	return s.RunRatio > 0
 }
 
 // assumedReleaseTime is the time assumed for an endpoint that reports no release rate.
--- a/internal/directmodel/endpoint.go
+++ b/internal/directmodel/endpoint.go
@@ -46,6 +46,8 @@
 	Unguarded bool
 	// ClockRate is the rate of the endpoint's clock, 1 if 0.
 	ClockRate float64
+	// RunRatio is the ratio of run times to nominal ones, 1 if 0.
+	RunRatio float64
 
 	sim            *Simulation
 	down           bool // crashed and not started again
@@ -285,6 +287,12 @@
 	e.Starts++
 	e.highestRun[order.Task] = order.Run
 	runTime := float64(spec.runTime)
+	if e.sim.RunTime != nil {
+		runTime = float64(e.sim.RunTime(order.Task))
+	}
+	if e.RunRatio > 0 {
+		runTime *= e.RunRatio
+	}
 	if e.Faults.Slow > 0 {
 		runTime *= e.Faults.Slow
 	}
--- a/internal/directmodel/link.go
+++ b/internal/directmodel/link.go
@@ -16,6 +16,9 @@
 	if s.Drop(from, env.To.ID) {
 		return
 	}
+	if s.Rewrite != nil {
+		env = s.Rewrite(env)
+	}
 	env.From.ID = from
 	s.After(linkDelay, func() {
 		if a := s.agentsByID[env.To.ID]; a != nil {
--- a/internal/directmodel/simulation.go
+++ b/internal/directmodel/simulation.go
@@ -48,6 +48,8 @@
 	FixedSubset bool
 	// NoWarmup is passed to the entries.
 	NoWarmup bool
+	// IgnoreSpeed is that of all entries.
+	IgnoreSpeed bool
 	// Log, if set, is called for each decision with the time since the start.
 	Log func(at time.Duration, who, decision string, inputs []slog.Attr)
 }
@@ -126,6 +128,11 @@
 	CrashesHost bool
 	// Sent, if set, is called with each message that a process sends.
 	Sent func(from zinniasill.NodeID, env message.Envelope)
+	// Rewrite, if set, returns what is sent instead of a message.
+	Rewrite func(env message.Envelope) message.Envelope
+	// RunTime, if set, returns the nominal run time of a task, which is its estimate
+	// otherwise.
+	RunTime func(task zinniasill.TaskID) time.Duration
 
 	cfg             Config
 	start           time.Time
@@ -221,7 +228,7 @@
 	e.Dispatcher = dispatch.New(dispatch.Config{
 		Self:   zinniasill.Node{ID: e.id, Incarnation: e.incarnation},
 		Domain: s.Domain(i), Recorder: recorder{sim: s, who: string(e.id)},
-		FixedSubset: s.cfg.FixedSubset, NoWarmup: s.cfg.NoWarmup,
+		FixedSubset: s.cfg.FixedSubset, NoWarmup: s.cfg.NoWarmup, IgnoreSpeed: s.cfg.IgnoreSpeed,
 	})
 	e.SetMembers(s.Now, s.members)
 }
