Record comparisons of speeds and tasks that wait for a faster endpoint

Operators could not see whether speeds differ and which tasks wait because of them: decision lines speeds-compared and task-held, each counted as all decisions are.

--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"log/slog"
 	"math"
 	"slices"
 	"time"
@@ -12,6 +13,8 @@
 	// speedInterval is the interval at which the speeds of the agents are compared. They
 	// change slowly.
 	speedInterval = 100 * time.Millisecond
+	// speedRecordInterval is the minimum time between two decision lines on the comparison.
+	speedRecordInterval = 2 * time.Second
 	// minSpeedDifference is the difference of the logarithms of two speeds up to which
 	// they count as about equal. It keeps endpoints that are alike, or nearly so, from
 	// being preferred by errors of the estimates.
@@ -50,6 +53,9 @@
 	// the median does not matter and is 1.
 	runFactors map[*agent]float64
 	median     float64
+	// recorded is the number of agents that differed when that was last recorded.
+	recorded   int
+	recordedAt time.Time
 }
 
 // compareSpeeds compares the speeds that agents have reported, unless it did so recently.
@@ -57,20 +63,16 @@
 	if d.speeds.median > 0 && now.Sub(d.speeds.comparedAt) < speedInterval {
 		return
 	}
-	d.speeds = speeds{comparedAt: now, median: 1}
+	d.speeds.comparedAt = now
+	d.speeds.median = 1
+	d.speeds.runFactors = nil
 	if d.cfg.IgnoreSpeed {
 		return
 	}
-	var known []float64
-	for _, a := range d.sortedAgents {
-		if a.incarnation != 0 && a.load.Speed.Known() {
-			known = append(known, logSpeed(a.load.Speed))
-		}
-	}
+	known := d.knownSpeeds()
 	if len(known) == 0 {
 		return
 	}
-	slices.Sort(known)
 	median := known[len(known)/2]
 	d.speeds.runFactors = map[*agent]float64{}
 	for _, a := range d.sortedAgents {
@@ -84,6 +86,42 @@
 	if len(d.speeds.runFactors) > 0 {
 		d.speeds.median = math.Exp(median)
 	}
+	d.recordSpeeds(now, len(known), median)
+}
+
+// knownSpeeds returns the logarithms of the speeds that agents report, in order.
+func (d *Dispatcher) knownSpeeds() []float64 {
+	var known []float64
+	for _, a := range d.sortedAgents {
+		if a.incarnation != 0 && a.load.Speed.Known() {
+			known = append(known, logSpeed(a.load.Speed))
+		}
+	}
+	slices.Sort(known)
+	return known
+}
+
+// recordSpeeds records the outcome of a comparison if the number of endpoints that differ has
+// changed.
+func (d *Dispatcher) recordSpeeds(now time.Time, known int, median float64) {
+	differing := len(d.speeds.runFactors)
+	if differing == d.speeds.recorded || now.Sub(d.speeds.recordedAt) < speedRecordInterval {
+		return
+	}
+	d.speeds.recorded = differing
+	d.speeds.recordedAt = now
+	slowest := 0.0
+	fastest := math.Inf(1)
+	for _, factor := range d.speeds.runFactors {
+		slowest = max(slowest, factor)
+		fastest = min(fastest, factor)
+	}
+	if differing == 0 {
+		fastest = 0
+	}
+	d.record("speeds-compared", slog.Int("agents", len(d.sortedAgents)), slog.Int("known", known),
+		slog.Int("differing", differing), slog.Int64("median", int64(math.Exp(median)*permille)),
+		slog.Int64("fastest", int64(fastest*permille)), slog.Int64("slowest", int64(slowest*permille)))
 }
 
 // certainDifference returns the difference of the logarithms of a speed and the median,
@@ -201,15 +239,29 @@
 
 // reserve reports whether a task waits for a faster endpoint although another one has free
 // capacity. Tasks behind it may then be placed, but not by the capacity that it waits for.
-func reserve(t *task, best *candidate, candidates []*candidate) bool {
+func (d *Dispatcher) reserve(t *task, best *candidate, candidates []*candidate) bool {
 	if !best.pass.unlike {
 		return false
 	}
 	for _, c := range candidates {
 		if c != best && c.fits(t) && c.wait(t) <= maxQueuedWait {
 			best.add(t)
+			d.recordHeld(t, best, c)
 			return true
 		}
 	}
 	return false
 }
+
+// recordHeld records once for each task that it waits for a faster endpoint.
+func (d *Dispatcher) recordHeld(t *task, best, free *candidate) {
+	if t.held {
+		return
+	}
+	t.held = true
+	d.record("task-held", slog.String("job", t.job.ID), slog.Int("index", int(t.index)),
+		slog.String("agent", string(best.agent.id)), slog.Duration("wait", best.wait(t)),
+		slog.Int64("speed", int64(best.runFactor*permille)), slog.String("free-agent", string(free.agent.id)),
+		slog.Int64("free-speed", int64(free.runFactor*permille)), slog.Duration("time-left", t.timeLeft(best.pass.now)),
+		slog.Duration("report-age", best.pass.now.Sub(best.agent.lastReport)))
+}
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -187,7 +187,7 @@
 		if best == nil || best.wait(t) > maxQueuedWait {
 			// Tasks behind one that does not fit wait too, so that small tasks do not
 			// starve large ones.
-			full = full || best != nil && !reserve(t, best, candidates)
+			full = full || best != nil && !d.reserve(t, best, candidates)
 			kept = append(kept, t)
 			continue
 		}
--- a/internal/directmodel/speed_test.go
+++ b/internal/directmodel/speed_test.go
@@ -36,6 +36,8 @@
 	endpointMilliCPU = 32_000
 	// tailFactor is the multiple of the mean run time that a long run of its kind takes.
 	tailFactor = 7
+	slowFactor = 6.5
+	slowTime   = 4 * time.Second
 )
 
 // speedLoad is a load on endpoints of different speed.
@@ -49,6 +51,8 @@
 	tailPercent int
 	// fault, if set, is called when the measured part begins.
 	fault func(s *directmodel.Simulation)
+	// slow makes the first endpoint slower by slowFactor for slowTime then.
+	slow bool
 	// rewrite, if set, returns what is sent instead of a message.
 	rewrite func(env message.Envelope) message.Envelope
 	seed    uint64
@@ -65,6 +69,8 @@
 // speedResult is the number of measured jobs by kind.
 type speedResult struct {
 	jobs, inTime, late, notDone map[string]int
+	// slowStarts are the tasks that the slow endpoint started while it was slow.
+	slowStarts int
 }
 
 // run runs the load with one of the rules of placement.
@@ -92,20 +98,39 @@
 		return job.run
 	}
 	interval := time.Duration(l.work() / (rate * float64(l.percent) / 100) * float64(time.Second))
-	faulty := false
+	faulty, slowStarts := false, 0
 	for due, began := time.Duration(0), s.Now; due < speedWarmUp+speedLength; due += interval {
 		for s.Now.Sub(began) < due {
 			s.Run(500 * time.Microsecond)
 		}
-		if due >= speedWarmUp && !faulty && l.fault != nil {
+		if due >= speedWarmUp && !faulty {
 			faulty = true
-			l.fault(s)
+			l.injectFault(s, &slowStarts)
 		}
 		submitRough(s, random, jobs, due >= speedWarmUp)
 	}
 	s.Run(4 * time.Second)
 	noViolations(t, s)
-	return newSpeedResult(s, jobs)
+	result := newSpeedResult(s, jobs)
+	result.slowStarts = slowStarts
+	return result
+}
+
+// injectFault injects the faults of the load, and counts the starts at the slow endpoint.
+func (l speedLoad) injectFault(s *directmodel.Simulation, slowStarts *int) {
+	if l.fault != nil {
+		l.fault(s)
+	}
+	if !l.slow {
+		return
+	}
+	endpoint := s.Agents[0].Endpoint
+	before := endpoint.Starts
+	endpoint.Faults.Slow = slowFactor
+	s.After(slowTime, func() {
+		endpoint.Faults.Slow = 0
+		*slowStarts = endpoint.Starts - before
+	})
 }
 
 // work returns the mean nominal run time of a job's tasks, in seconds.
@@ -233,18 +258,10 @@
 			}},
 		},
 		"slow for a while": {
-			load: speedLoad{ratios: unlike, percent: 50, tailPercent: 3, fault: func(s *directmodel.Simulation) {
-				faults := &s.Agents[0].Endpoint.Faults
-				faults.Slow = 6.5
-				s.After(4*time.Second, func() { faults.Slow = 0 })
-			}},
+			load: speedLoad{ratios: unlike, percent: 50, tailPercent: 3, slow: true},
 		},
 		"alike, one slow for a while": {
-			load: speedLoad{ratios: []float64{1}, percent: 50, fault: func(s *directmodel.Simulation) {
-				faults := &s.Agents[0].Endpoint.Faults
-				faults.Slow = 6.5
-				s.After(4*time.Second, func() { faults.Slow = 0 })
-			}},
+			load: speedLoad{ratios: []float64{1}, percent: 50, slow: true},
 		},
 	}
 	for name, tt := range tests {
@@ -253,6 +270,7 @@
 			today, bySpeed := tt.load.run(t, true), tt.load.run(t, false)
 			today.log(t, "ignoring speed")
 			bySpeed.log(t, "by speed")
+			t.Logf("starts at the slow endpoint: %d ignoring speeds, %d by speed", today.slowStarts, bySpeed.slowStarts)
 			if gain := bySpeed.inTimeShare("all") - today.inTimeShare("all"); gain < tt.gain {
 				t.Errorf("%d thousandths more jobs in time, want %d", gain, tt.gain)
 			}
