Accept late jobs that are still useful, and displace waiting jobs by class

Cause: a job whose expected wait exceeded maxWait was refused at once although it could still end while its answer was useful. Jobs that had been accepted and were overtaken by more urgent ones began late, and their work was wasted.

Change: core/overload classifies jobs that have not begun as on time, deferred or hopeless (Moore and Hodgson's rule within a priority; half of the jobs, by the hash of their id, are not displaced by size). core/dispatch accepts a job as deferred if capacity that on-time work does not need is expected to serve it in half of its useful time, places deferred jobs as a whole and only while no on-time work waits, reclassifies waiting jobs every 20 ms, and refuses hopeless ones that have not begun. A job of a lower priority is not admitted on time if more urgent arrivals are expected to overtake it. Job.AnswerWithin bounds the useful time. Config.Overload selects the former rule (RefuseLate).

--- a/core/dispatch/admit.go
+++ b/core/dispatch/admit.go
@@ -58,8 +58,8 @@
 		best.add(t)
 	}
 	wait += longest
-	if wait > j.maxWait() {
-		return wait, zinniasill.ReasonOverload
+	if wait > j.maxWait() || d.overtaken(j, wait) {
+		return wait, d.admitLate(now, j, candidates)
 	}
 	return wait, ""
 }
@@ -69,17 +69,11 @@
 func (d *Dispatcher) backlog(now time.Time, j *job, candidates []*candidate) int64 {
 	sum := int64(0)
 	for _, t := range d.unplaced {
-		if t.job.begun || t.job.Priority <= j.Priority && !t.late(now) {
+		if t.job.begun || t.job.Priority <= j.Priority && !d.yields(now, t) {
 			sum += t.job.Steps[t.step].Need.MilliCPU
 		}
 	}
-	newest := candidates[0].agent
-	for _, c := range candidates {
-		if c.agent.lastReport.After(newest.lastReport) {
-			newest = c.agent
-		}
-	}
-	if waiting := newest.load.Waiting; len(waiting) == message.Priorities {
+	if waiting := newestLoad(candidates).Waiting; len(waiting) == message.Priorities {
 		for _, milliCPU := range waiting[:j.priorityLevel()+1] {
 			sum += milliCPU
 		}
--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -257,7 +257,7 @@
 // overdue, since their results would come too late to be useful.
 func (d *Dispatcher) answerOverdue(now time.Time, a *agent) {
 	for _, t := range a.sortedTasks() {
-		if !t.job.ended && now.Sub(t.job.arrivedAt) > overdueFactor*t.job.targetTime {
+		if !t.job.ended && now.Sub(t.job.arrivedAt) > d.usefulFor(t.job) {
 			d.finish(now, t.job, Unknown, zinniasill.ReasonOutcomeUnknown)
 		}
 	}
@@ -303,7 +303,7 @@
 		a.lastSent = now
 		a.heartbeatDue = false
 		if waitingCPU == nil {
-			waitingCPU = d.waitingCPU()
+			waitingCPU = d.waitingCPU(now)
 		}
 		first, commands := a.out.Batch(now)
 		d.outbox = append(d.outbox, message.Envelope{
@@ -330,11 +330,14 @@
 	d.record("agent-silent", slog.String("agent", string(a.id)), slog.Int("tasks", len(a.tasks)))
 }
 
-// waitingCPU returns the CPU required by the waiting tasks, by priority, in thousandths
-// of a core.
-func (d *Dispatcher) waitingCPU() []int64 {
+// waitingCPU returns the CPU required by the waiting tasks, without those that yield, by
+// priority, in thousandths of a core.
+func (d *Dispatcher) waitingCPU(now time.Time) []int64 {
 	sums := make([]int64, message.Priorities)
 	for _, t := range d.unplaced {
+		if d.cfg.Overload != RefuseLate && d.yields(now, t) {
+			continue // It does not delay work of other entries.
+		}
 		sums[t.job.priorityLevel()] += t.job.Steps[t.step].Need.MilliCPU
 	}
 	return sums
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	"zinniasill"
 	"zinniasill/core/joblock"
 	"zinniasill/core/message"
+	"zinniasill/core/overload"
 	"zinniasill/core/resource"
 	"zinniasill/core/subset"
 )
@@ -50,7 +51,10 @@
 	Objective time.Duration
 	// ArrivedAt is when the request arrived, if it was held before Submit, zero otherwise.
 	ArrivedAt time.Time
-	Steps     []Step
+	// AnswerWithin is the time after which the caller has no use for an answer, 0 if it has
+	// no limit besides the objective.
+	AnswerWithin time.Duration
+	Steps        []Step
 }
 
 // Step is a group of equal tasks.
@@ -108,6 +112,7 @@
 	NoWarmup bool
 	// IgnoreSpeed places tasks as if no agent reported a speed, for comparison in tests.
 	IgnoreSpeed bool
+	Overload    OverloadPolicy
 }
 
 // Dispatcher owns the jobs of one entry. It is not safe for concurrent use. Use New.
@@ -144,6 +149,7 @@
 	replies    []Reply
 	outbox     []message.Envelope
 	suspects   []zinniasill.NodeID
+	overload   overloadState
 }
 
 // New returns a dispatcher without agents.
@@ -194,22 +200,24 @@
 	candidates := d.candidates(now)
 	wait, reason := d.admit(now, j, candidates)
 	wait, reason = d.reconsider(now, j, candidates, wait, reason)
+	if reason == zinniasill.ReasonOverload || j.class == overload.Deferred {
+		d.widening.Press(now)
+	}
 	if reason != "" {
 		d.record("job-refused", slog.String("job", j.ID), slog.String("queue", j.Queue),
 			slog.String("reason", string(reason)), slog.Duration("wait", wait),
 			slog.Duration("patience", j.maxWait()), slog.Int("tasks", len(j.tasks)),
 			slog.Int("unplaced", len(d.unplaced)), slog.Int("agents", len(candidates)),
 			slog.Int64("configuration", int64(j.Configuration)))
-		if reason == zinniasill.ReasonOverload {
-			d.widening.Press(now)
-		}
 		d.refuse(now, j, reason, wait)
 		return
 	}
+	d.noteArrival(j)
 	d.record("job-taken", slog.String("job", j.ID), slog.String("queue", j.Queue),
 		slog.Int("tasks", len(j.tasks)), slog.Duration("wait", wait),
 		slog.Duration("goal", j.targetTime), slog.Int("unplaced", len(d.unplaced)),
-		slog.Int("agents", len(candidates)), slog.Int64("configuration", int64(j.Configuration)))
+		slog.Int("agents", len(candidates)), slog.Int64("configuration", int64(j.Configuration)),
+		slog.String("class", j.class.String()))
 	if !j.locked {
 		d.locks.Acquire(now, j.ID)
 		d.applyLocks(now)
@@ -282,6 +290,9 @@
 	d.abortPostponed(now)
 	d.forgetUnused(now)
 	d.crashes.expire(now)
+	if len(d.unplaced) == 0 {
+		d.observeSpare(now, d.candidates(now))
+	}
 	d.placementDue = true
 }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -5,6 +5,7 @@
 
 	"zinniasill"
 	"zinniasill/core/message"
+	"zinniasill/core/overload"
 	"zinniasill/core/rendezvous"
 )
 
@@ -27,6 +28,10 @@
 	// mayHaveRun is set once a task may have started.
 	mayHaveRun bool
 	ended      bool
+	// class is what the job can expect, or could when it began.
+	class overload.Class
+	// round is that of the last list of waiting jobs that has the job.
+	round uint64
 }
 
 // task is one task of a job. Its agent is nil while it is not assigned.
@@ -128,6 +133,34 @@
 	return true
 }
 
+// work returns the CPU time that the job requires, in thousandths of a core times
+// milliseconds.
+func (j *job) work() int64 {
+	work := int64(0)
+	for _, step := range j.Steps {
+		work += int64(step.Count) * step.Need.MilliCPU * step.Estimate.Milliseconds()
+	}
+	return work
+}
+
+// work is like job.work for one task.
+func (t *task) work() int64 {
+	step := t.job.Steps[t.step]
+	return step.Need.MilliCPU * step.Estimate.Milliseconds()
+}
+
+// readyCPU returns the CPU required by the tasks that are ready, in thousandths of a core.
+func (j *job) readyCPU() int64 {
+	sum := int64(0)
+	for _, t := range j.ready() {
+		sum += j.Steps[t.step].Need.MilliCPU
+	}
+	return sum
+}
+
+// protected reports whether the job is not displaced because of its size.
+func (j *job) protected() bool { return j.hash%2 == 0 }
+
 // hasAssigned reports whether any task of the job is assigned to an agent.
 func (j *job) hasAssigned() bool {
 	for _, t := range j.tasks {
--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -45,6 +45,11 @@
 	}
 	d.setSpare(members, chosen)
 	d.useExtra(now)
+	if len(members.Agents) > 0 {
+		d.overload.entriesPerAgent = int64(len(members.Entries) * len(chosen) / len(members.Agents))
+	}
+	// Capacity may have been lost.
+	d.overload.classifiedAt = time.Time{}
 	if d.firstAgentAt.IsZero() && len(d.sortedAgents) > 0 {
 		d.firstAgentAt = now
 	}
--- a/core/dispatch/offer.go
+++ b/core/dispatch/offer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinniasill/core/message"
+	"zinniasill/core/overload"
 )
 
 const (
@@ -73,6 +74,15 @@
 	return &message.JobOffer{
 		Job: t.job.ID, Step: uint32(t.step), Spec: t.job.Spec, Need: step.Need,
 		Estimate: step.Estimate, Priority: t.job.Priority,
-		Slack: max(t.job.slack()-now.Sub(t.job.arrivedAt), 0), Label: step.Label,
+		Slack: d.slackLeft(now, t.job), Label: step.Label,
 	}
 }
+
+// slackLeft returns how long the tasks of a job may wait from now without missing the
+// objective, 0 for a deferred job.
+func (d *Dispatcher) slackLeft(now time.Time, j *job) time.Duration {
+	if j.class != overload.OnTime {
+		return 0
+	}
+	return max(j.slack()-now.Sub(j.arrivedAt), 0)
+}
--- /dev/null
+++ b/core/dispatch/overload.go
@@ -0,0 +1,480 @@
+package dispatch
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"zinniasill"
+	"zinniasill/core/message"
+	"zinniasill/core/overload"
+)
+
+// OverloadPolicy is what happens to a job that is not expected to meet its objective.
+type OverloadPolicy string
+
+// Values of OverloadPolicy.
+const (
+	// DeferLate accepts the job if capacity that on-time work does not need is expected to
+	// serve it while its answer is still useful. It is the default.
+	DeferLate OverloadPolicy = ""
+	// RefuseLate refuses the job.
+	RefuseLate OverloadPolicy = "refuse-late"
+)
+
+const (
+	// deferredWaitPercent is the maximum expected wait of a job that is accepted as deferred,
+	// in percent of the time until its last useful start.
+	deferredWaitPercent = 50
+	// displacedWaitPercent is the expected wait from which a waiting job no longer counts as
+	// on time, in percent of its slack. The expectation may be wrong by about a quarter.
+	displacedWaitPercent = 125
+	// spareHalfLife is the half-life of the mean of the spare capacity. Deferred jobs wait
+	// for a few hundred milliseconds, so that what was spare longer ago tells little.
+	spareHalfLife = 400 * time.Millisecond
+	// classifyInterval is the minimum time between two classifications of the waiting jobs,
+	// unless capacity is lost.
+	classifyInterval = waitingTickInterval
+	// needWeight is the weight of one job in the mean need of a task.
+	needWeight = 16
+)
+
+// overloadState is what the dispatcher knows about the capacity that on-time work leaves.
+type overloadState struct {
+	// spare is the CPU that on-time work does not need, in thousandths of a core.
+	spare overload.Average
+	// share is the part of it, in thousandths, that this entry counts on: others use the same
+	// agents.
+	share overload.Average
+	// need is the mean CPU that a task needs. What is free in smaller parts is of no use.
+	need int64
+	// slacks are those of the last on-time job of each priority, 0 if there was none.
+	slacks [message.Priorities]time.Duration
+	// entriesPerAgent is the mean number of entries that use an agent.
+	entriesPerAgent int64
+	// inUse is the CPU of tasks of each priority that this entry has assigned, in thousandths
+	// of a core.
+	inUse        [message.Priorities]overload.Average
+	classifiedAt time.Time
+	// round numbers the lists of waiting jobs, see waitingJobs.
+	round uint64
+	// waiting counts the waiting jobs of each class at the last classification.
+	waiting [overload.Hopeless + 1]int
+}
+
+// usefulFor returns the time from the arrival of a job for which its answer is useful. A
+// caller's time limit below the objective does not count: estimates are rough.
+func (d *Dispatcher) usefulFor(j *job) time.Duration {
+	useful := overdueFactor * j.targetTime
+	if d.cfg.Overload == RefuseLate || j.AnswerWithin <= 0 {
+		return useful
+	}
+	return max(min(useful, j.AnswerWithin), j.targetTime)
+}
+
+// lastStart returns the time from now after which a start ends too late to be useful.
+func (d *Dispatcher) lastStart(now time.Time, j *job) time.Duration {
+	return d.usefulFor(j) - j.criticalPath() - now.Sub(j.arrivedAt)
+}
+
+// yields reports whether a waiting task leaves free capacity to on-time work.
+func (d *Dispatcher) yields(now time.Time, t *task) bool {
+	switch {
+	case t.job.begun:
+		return false
+	case d.cfg.Overload == RefuseLate:
+		return t.late(now)
+	default:
+		return t.job.class != overload.OnTime
+	}
+}
+
+// admitLate returns the reason for refusing a job that is not expected to meet its
+// objective, empty if it is accepted as deferred.
+func (d *Dispatcher) admitLate(now time.Time, j *job, candidates []*candidate) zinniasill.Reason {
+	if d.cfg.Overload == RefuseLate {
+		return zinniasill.ReasonOverload
+	}
+	last := d.lastStart(now, j)
+	capacity := d.capacity(candidates)
+	onTime, deferred := int64(0), j.work()
+	for _, t := range d.unplaced {
+		if t.job.begun {
+			continue // It is in capacity.Ahead.
+		}
+		switch {
+		case t.job.class == overload.OnTime:
+			onTime += t.work()
+		case t.job.Priority < j.Priority, t.job.Priority == j.Priority && d.lastStart(now, t.job) <= last:
+			deferred += t.work()
+		}
+	}
+	wait := capacity.DeferredWait(onTime, deferred)
+	limit := last * deferredWaitPercent / 100
+	if wait > limit || d.long(j) && j.readyCPU() > d.deferrableCPU() {
+		return zinniasill.ReasonOverload
+	}
+	j.class = overload.Deferred
+	d.recordClass(now, "job-deferred", j, "accepted", wait, limit, capacity, candidates)
+	return ""
+}
+
+// capacity returns what is expected to become free for jobs that have not begun.
+func (d *Dispatcher) capacity(candidates []*candidate) overload.Capacity {
+	capacity, released := int64(0), int64(0)
+	for _, c := range candidates {
+		capacity += c.agent.load.Capacity.MilliCPU
+		released += c.agent.load.ReleaseRate
+	}
+	ahead := int64(0)
+	for _, t := range d.unplaced {
+		if t.job.begun {
+			ahead += t.work()
+		}
+	}
+	elsewhere := make([]int64, message.Priorities)
+	if released > 0 {
+		// Other entries report CPU. The running tasks tell how long it is in use.
+		inUse := float64(capacity) / float64(released) * float64(time.Second/time.Millisecond)
+		for priority, milliCPU := range newestLoad(candidates).Waiting {
+			elsewhere[min(priority, message.Priorities-1)] += int64(float64(milliCPU) * inUse)
+		}
+	}
+	onTimeRate, share := int64(0), permille/max(d.overload.entriesPerAgent, 1)
+	if d.overload.spare.Known() {
+		share = d.overload.share.Mean()
+		onTimeRate = max(capacity-d.overload.spare.Mean(), 0)
+	}
+	return overload.Capacity{
+		Rate: capacity, Ahead: ahead, Elsewhere: elsewhere,
+		OnTime: onTimeRate, Share: share,
+	}
+}
+
+// newestLoad returns the load in the newest report, an empty one without candidates.
+func newestLoad(candidates []*candidate) message.EndpointLoad {
+	if len(candidates) == 0 {
+		return message.EndpointLoad{}
+	}
+	return newestAgent(candidates).load
+}
+
+func newestAgent(candidates []*candidate) *agent {
+	newest := candidates[0].agent
+	for _, c := range candidates {
+		if c.agent.lastReport.After(newest.lastReport) {
+			newest = c.agent
+		}
+	}
+	return newest
+}
+
+func sum(amounts []int64) int64 {
+	total := int64(0)
+	for _, amount := range amounts {
+		total += amount
+	}
+	return total
+}
+
+// classifyWaiting updates the classes of the waiting jobs that have not begun, and refuses
+// those that have become hopeless.
+func (d *Dispatcher) classifyWaiting(now time.Time, candidates []*candidate) {
+	if d.cfg.Overload == RefuseLate || now.Sub(d.overload.classifiedAt) < classifyInterval {
+		return
+	}
+	d.overload.classifiedAt = now
+	jobs := d.waitingJobs()
+	if len(jobs) == 0 || len(candidates) == 0 || d.expectedAgents(now, candidates) > 0 {
+		return
+	}
+	capacity := d.capacity(candidates)
+	described := make([]overload.Job, 0, len(jobs))
+	for _, j := range jobs {
+		described = append(described, d.describe(now, j))
+	}
+	classes := overload.Classify(capacity, described)
+	d.overload.waiting = [overload.Hopeless + 1]int{}
+	for _, class := range classes {
+		d.overload.waiting[class]++
+	}
+	for i, j := range jobs {
+		class := classes[i]
+		if j.ended {
+			continue
+		}
+		if ready := j.ready(); len(ready) > 0 && d.unservable(ready[0]) {
+			d.abort(now, j, zinniasill.ReasonNoEndpoint)
+			continue
+		}
+		wait := capacity.DeferredWait(0, described[i].Work)
+		if class == overload.Hopeless && j.mayHaveRun {
+			// A refusal would not be true.
+			class = overload.Deferred
+		}
+		if class == j.class {
+			continue
+		}
+		d.recordClass(now, "job-displaced", j, class.String(), wait, described[i].LastStart, capacity, candidates)
+		j.class = class
+		if class == overload.Hopeless {
+			d.abort(now, j, zinniasill.ReasonOverload)
+		}
+	}
+}
+
+// waitingJobs returns the jobs with waiting tasks that have not begun, in the order of the
+// tasks.
+func (d *Dispatcher) waitingJobs() []*job {
+	var jobs []*job
+	d.overload.round++
+	for _, t := range d.unplaced {
+		if t.job.begun || t.job.ended || t.job.round == d.overload.round {
+			continue
+		}
+		t.job.round = d.overload.round
+		jobs = append(jobs, t.job)
+	}
+	return jobs
+}
+
+// describe describes a job that has not begun. A deferred one becomes an on-time job again
+// only within the limit of admission.
+func (d *Dispatcher) describe(now time.Time, j *job) overload.Job {
+	latest := j.slack() * displacedWaitPercent / 100
+	if j.class != overload.OnTime {
+		latest = j.maxWait()
+	}
+	return overload.Job{
+		Priority: j.Priority, LatestStart: latest - now.Sub(j.arrivedAt), LastStart: d.lastStart(now, j),
+		Work: j.work(), Protected: j.protected(),
+	}
+}
+
+// observeSpare records the CPU that on-time work does not need now: none while it waits, and
+// else what is free or used by deferred jobs.
+func (d *Dispatcher) observeSpare(now time.Time, candidates []*candidate) {
+	if d.cfg.Overload == RefuseLate || len(candidates) == 0 {
+		return
+	}
+	spare, share := d.spareCPU(now, candidates)
+	d.overload.spare.Observe(now, spare, spareHalfLife)
+	d.overload.share.Observe(now, share, spareHalfLife)
+	inUse := [message.Priorities]int64{}
+	for _, a := range d.sortedAgents {
+		for t := range a.tasks {
+			inUse[t.job.priorityLevel()] += t.job.Steps[t.step].Need.MilliCPU
+		}
+	}
+	for priority, milliCPU := range inUse {
+		d.overload.inUse[priority].Observe(now, milliCPU, spareHalfLife)
+	}
+}
+
+// overtaken reports whether more urgent work that arrives while a job waits is expected to
+// make the job late. That work takes the same part of the capacity as it does now.
+func (d *Dispatcher) overtaken(j *job, wait time.Duration) bool {
+	if d.cfg.Overload == RefuseLate || wait == 0 {
+		return false
+	}
+	urgent, all := int64(0), int64(0)
+	for priority := range d.overload.inUse {
+		milliCPU := d.overload.inUse[priority].Mean()
+		all += milliCPU
+		if priority < j.priorityLevel() {
+			urgent += milliCPU
+		}
+	}
+	return float64(wait)*float64(all) > float64(j.slack())*float64(all-urgent)
+}
+
+// deferrableCPU returns the CPU that deferred jobs of this entry with long tasks may use at a
+// time, in thousandths of a core. On-time work is expected to need the rest meanwhile.
+func (d *Dispatcher) deferrableCPU() int64 {
+	return d.overload.spare.Mean() * d.overload.share.Mean() / permille
+}
+
+// spareCPU returns the CPU that on-time work does not need now, and this entry's share of it
+// in thousandths: the share of the CPU in use that it has, or an equal one.
+func (d *Dispatcher) spareCPU(now time.Time, candidates []*candidate) (spare, share int64) {
+	free, deferred, own, used := int64(0), int64(0), int64(0), int64(0)
+	for _, c := range candidates {
+		free += c.usableCPU(d.overload.need)
+		used += c.agent.load.Capacity.MilliCPU - c.freeCPU
+		for t := range c.agent.tasks {
+			need := t.job.Steps[t.step].Need.MilliCPU
+			own += need
+			if t.job.class != overload.OnTime {
+				deferred += need
+			}
+		}
+	}
+	share = permille / max(d.overload.entriesPerAgent, 1)
+	if used > 0 {
+		share = min(max(share, own*permille/used), permille)
+	}
+	if d.onTimeWaits(now, candidates) {
+		return 0, share
+	}
+	return free + deferred, share
+}
+
+// usableCPU returns the free CPU in parts that suffice for a task.
+func (c *candidate) usableCPU(need int64) int64 {
+	if c.freeCPU <= 0 || need <= 0 {
+		return max(c.freeCPU, 0)
+	}
+	return c.freeCPU / need * need
+}
+
+// onTimeWaits reports whether on-time work waits here or at another entry.
+func (d *Dispatcher) onTimeWaits(now time.Time, candidates []*candidate) bool {
+	for _, t := range d.unplaced {
+		if !d.yields(now, t) {
+			return true
+		}
+	}
+	return sum(newestLoad(candidates).Waiting) > 0
+}
+
+// placeDeferred places waiting deferred jobs, while no on-time work waits. A job is placed
+// only as a whole.
+func (d *Dispatcher) placeDeferred(now time.Time, candidates []*candidate) (placements []placement, operations int) {
+	if d.cfg.Overload == RefuseLate || d.onTimeWaits(now, candidates) {
+		return nil, 0
+	}
+	inUse := d.deferredInUse()
+	placed := map[*task]bool{}
+	for _, j := range d.waitingJobs() {
+		if d.long(j) && inUse+j.readyCPU() > d.deferrableCPU() {
+			continue
+		}
+		tasks, ok := placeWhole(j, candidates)
+		operations += len(candidates) * (1 + len(tasks))
+		if ok {
+			inUse += j.readyCPU()
+			placements = append(placements, tasks...)
+			for _, p := range tasks {
+				placed[p.task] = true
+			}
+		} else if j.protected() {
+			// Jobs behind it wait too, so that small jobs do not starve large ones.
+			break
+		}
+	}
+	if len(placed) > 0 {
+		d.unplaced = slices.DeleteFunc(d.unplaced, func(t *task) bool { return placed[t] })
+	}
+	return placements, operations
+}
+
+// placeWhole returns placements for all ready tasks of a job, each in free capacity. A job
+// that needs more than half of the capacity begins once half of it is free.
+func placeWhole(j *job, candidates []*candidate) ([]placement, bool) {
+	free, capacity := int64(0), int64(0)
+	for _, c := range candidates {
+		free += max(c.freeCPU, 0)
+		capacity += c.agent.load.Capacity.MilliCPU
+	}
+	enough := min(j.readyCPU(), capacity/2)
+	if free < enough {
+		return nil, false
+	}
+	var placements []placement
+	var at []*candidate
+	placed := int64(0)
+	for _, t := range j.ready() {
+		best := choose(t, candidates)
+		if best == nil || best.wait(t) > 0 {
+			break
+		}
+		best.add(t)
+		at = append(at, best)
+		placed += j.Steps[t.step].Need.MilliCPU
+		placements = append(placements, placement{task: t, agent: best.agent})
+	}
+	if placed >= enough {
+		return placements, true
+	}
+	for i, c := range at {
+		c.remove(placements[i].task)
+	}
+	return nil, false
+}
+
+// remove undoes add.
+func (c *candidate) remove(t *task) {
+	c.freeCPU += t.job.Steps[t.step].Need.MilliCPU
+	c.placed[t.job][t.step]--
+}
+
+// deferredInUse returns the CPU assigned to deferred jobs, in thousandths of a core.
+func (d *Dispatcher) deferredInUse() int64 {
+	inUse := int64(0)
+	for _, a := range d.sortedAgents {
+		for t := range a.tasks {
+			if t.job.class != overload.OnTime {
+				inUse += t.job.Steps[t.step].Need.MilliCPU
+			}
+		}
+	}
+	return inUse
+}
+
+// noteArrival records a job that was accepted.
+func (d *Dispatcher) noteArrival(j *job) {
+	if d.cfg.Overload == RefuseLate || len(j.Steps) == 0 {
+		return
+	}
+	if j.class == overload.OnTime {
+		d.overload.slacks[j.priorityLevel()] = j.slack()
+	}
+	need := j.Steps[0].Need.MilliCPU
+	if d.overload.need == 0 {
+		d.overload.need = need
+	}
+	d.overload.need += (need - d.overload.need) / needWeight
+}
+
+// long reports whether the tasks of a job run longer than a job of a higher priority can
+// wait.
+func (d *Dispatcher) long(j *job) bool {
+	run := time.Duration(0)
+	for _, step := range j.Steps {
+		run = max(run, step.Estimate)
+	}
+	for _, slack := range d.overload.slacks[:j.priorityLevel()] {
+		if slack > 0 && run > slack {
+			return true
+		}
+	}
+	return false
+}
+
+// withdrawBegin lets a deferred job wait as a whole again if its agents have declined all its
+// tasks.
+func (d *Dispatcher) withdrawBegin(j *job) {
+	if j.class != overload.OnTime && !j.mayHaveRun && !j.hasAssigned() {
+		j.begun = false
+	}
+}
+
+func (d *Dispatcher) recordClass(
+	now time.Time, decision string, j *job, outcome string, wait, limit time.Duration,
+	capacity overload.Capacity, candidates []*candidate,
+) {
+	d.record(decision, slog.String("job", j.ID), slog.String("queue", j.Queue), slog.String("from", j.class.String()),
+		slog.String("outcome", outcome), slog.Duration("wait", wait), slog.Duration("limit", limit),
+		slog.Duration("after", now.Sub(j.arrivedAt)), slog.Int("on-time", d.overload.waiting[overload.OnTime]),
+		slog.Int("deferred", d.overload.waiting[overload.Deferred]), slog.Int("unplaced", len(d.unplaced)),
+		slog.Int64("rate", capacity.Rate), slog.Int64("deferred-rate", capacity.DeferredRate()),
+		slog.Int("agents", len(candidates)), slog.Duration("report-age", reportAge(now, candidates)))
+}
+
+// reportAge returns the age of the newest report, 0 without candidates.
+func reportAge(now time.Time, candidates []*candidate) time.Duration {
+	if len(candidates) == 0 {
+		return 0
+	}
+	return now.Sub(newestAgent(candidates).lastReport)
+}
--- a/core/dispatch/update.go
+++ b/core/dispatch/update.go
@@ -132,6 +132,7 @@
 		slog.String("agent", string(t.agent.id)))
 	t.agent.release(t)
 	t.lastReturnReason = zinniasill.ReasonOverload
+	d.withdrawBegin(t.job)
 	d.requeue(t)
 }
 
@@ -168,14 +169,19 @@
 		return
 	}
 	d.abortOverdue(now)
-	slices.SortStableFunc(d.unplaced, func(a, b *task) int { return compareUrgency(now, a, b) })
 	candidates := d.candidates(now)
+	d.classifyWaiting(now, candidates)
+	slices.SortStableFunc(d.unplaced, func(a, b *task) int { return d.compareUrgency(now, a, b) })
 	operations := len(d.sortedAgents) + len(d.unplaced)*sortOperations
 	var placements []placement
 	var unservable []*task
 	kept := d.unplaced[:0]
 	full := false
 	for _, t := range d.unplaced {
+		if d.cfg.Overload != RefuseLate && d.yields(now, t) {
+			kept = append(kept, t)
+			continue
+		}
 		var best *candidate
 		if !full {
 			best = choose(t, candidates)
@@ -195,8 +201,12 @@
 		placements = append(placements, placement{task: t, agent: best.agent})
 	}
 	d.unplaced = kept
+	deferred, tried := d.placeDeferred(now, candidates)
+	placements = append(placements, deferred...)
+	operations += tried
 	d.nextPlacement = now.Add(time.Duration(operations) * pausePerOperation)
 	d.assign(now, placements)
+	d.observeSpare(now, candidates)
 	for _, t := range unservable {
 		d.abort(now, t.job, zinniasill.ReasonNoEndpoint)
 	}
@@ -218,7 +228,7 @@
 		return t.job.ended || t.agent != nil || t.done
 	})
 	for _, t := range d.unplaced {
-		if now.Sub(t.job.arrivedAt)+t.job.Steps[t.step].Estimate > overdueFactor*t.job.targetTime {
+		if now.Sub(t.job.arrivedAt)+t.job.Steps[t.step].Estimate > d.usefulFor(t.job) {
 			overdue[t.job] = true
 		}
 	}
@@ -233,20 +243,20 @@
 // under overload, the work done for a job that is not completed is wasted. They are
 // followed by tasks that can still meet their objective. Within these classes, the order
 // is by priority and then by latest start.
-func compareUrgency(now time.Time, a, b *task) int {
+func (d *Dispatcher) compareUrgency(now time.Time, a, b *task) int {
 	return cmp.Or(
-		cmp.Compare(a.urgencyClass(now), b.urgencyClass(now)),
+		cmp.Compare(d.urgencyClass(now, a), d.urgencyClass(now, b)),
 		cmp.Compare(a.job.Priority, b.job.Priority),
 		a.latestStart().Compare(b.latestStart()),
 	)
 }
 
 // urgencyClass returns the class of a waiting task. The lowest is the most urgent.
-func (t *task) urgencyClass(now time.Time) int {
+func (d *Dispatcher) urgencyClass(now time.Time, t *task) int {
 	switch {
 	case t.job.begun:
 		return 0
-	case !t.late(now):
+	case !d.yields(now, t):
 		return 1
 	default:
 		return 2
--- a/core/dispatch/warmup.go
+++ b/core/dispatch/warmup.go
@@ -29,7 +29,7 @@
 // started, whereas a job that waits for its lock ends with an unknown outcome.
 func (d *Dispatcher) reconsider(now time.Time, j *job, candidates []*candidate, wait time.Duration, reason zinniasill.Reason) (time.Duration, zinniasill.Reason) {
 	switch {
-	case !j.ArrivedAt.IsZero() && j.usefulWait(now) < 0:
+	case !j.ArrivedAt.IsZero() && d.lastStart(now, j) < 0:
 		return wait, zinniasill.ReasonDeadline
 	case reason != "":
 		return d.admitExpected(now, j, candidates, wait, reason)
@@ -73,7 +73,7 @@
 // the reason given unless the job is accepted.
 func (d *Dispatcher) admitExpected(now time.Time, j *job, candidates []*candidate, wait time.Duration, reason zinniasill.Reason) (time.Duration, zinniasill.Reason) {
 	expected := d.expectedAgents(now, candidates)
-	limit := j.usefulWait(now)
+	limit := d.lastStart(now, j)
 	if expected == 0 || limit < 0 {
 		return wait, reason
 	}
@@ -91,12 +91,6 @@
 	return expectedWait, ""
 }
 
-// usefulWait returns how long a job's first task may wait so that the answer is still
-// useful.
-func (j *job) usefulWait(now time.Time) time.Duration {
-	return overdueFactor*j.targetTime - now.Sub(j.arrivedAt) - j.criticalPath()
-}
-
 // expectedWait returns the expected wait of a job's last task once the expected agents have
 // reported. Endpoints that have just started release CPU at the rate at which they do when
 // they are full, not at the one that the few running tasks give.
--- a/core/dispatch/warmup_test.go
+++ b/core/dispatch/warmup_test.go
@@ -18,7 +18,7 @@
 
 func newWarmupTest() *warmupTest {
 	w := &warmupTest{memberTest: &memberTest{
-		Dispatcher: New(Config{Self: zinniasill.Node{ID: "entry", Incarnation: 1}}), now: time.Unix(1000, 0),
+		Dispatcher: New(Config{Overload: RefuseLate, Self: zinniasill.Node{ID: "entry", Incarnation: 1}}), now: time.Unix(1000, 0),
 	}}
 	for i := range 10 {
 		w.ids = append(w.ids, zinniasill.NodeID(fmt.Sprintf("agent-%d", i)))
--- a/core/dispatch/withdrawal.go
+++ b/core/dispatch/withdrawal.go
@@ -110,7 +110,7 @@
 func (d *Dispatcher) abortPostponed(now time.Time) {
 	var overdue []*job
 	for _, j := range d.jobs {
-		if !j.taken && now.Sub(j.arrivedAt) > overdueFactor*j.targetTime {
+		if !j.taken && now.Sub(j.arrivedAt) > d.usefulFor(j) {
 			overdue = append(overdue, j)
 		}
 	}
--- a/internal/directmodel/check.go
+++ b/internal/directmodel/check.go
@@ -63,3 +63,12 @@
 		}
 	}
 }
+
+// StartsByJob returns the number of starts of the tasks of each job.
+func (s *Simulation) StartsByJob() map[string]int {
+	counts := map[string]int{}
+	for id, starts := range s.starts {
+		counts[id.Job] += starts
+	}
+	return counts
+}
--- a/internal/directmodel/simulation.go
+++ b/internal/directmodel/simulation.go
@@ -50,6 +50,8 @@
 	NoWarmup bool
 	// IgnoreSpeed is that of all entries.
 	IgnoreSpeed bool
+	// Overload is the policy of all entries.
+	Overload dispatch.OverloadPolicy
 	// Log, if set, is called for each decision with the time since the start.
 	Log func(at time.Duration, who, decision string, inputs []slog.Attr)
 }
@@ -228,7 +230,7 @@
 	e.Dispatcher = dispatch.New(dispatch.Config{
 		Self:   zinniasill.Node{ID: e.id, Incarnation: e.incarnation},
 		Domain: s.Domain(i), Recorder: recorder{sim: s, who: string(e.id)},
-		FixedSubset: s.cfg.FixedSubset, NoWarmup: s.cfg.NoWarmup, IgnoreSpeed: s.cfg.IgnoreSpeed,
+		FixedSubset: s.cfg.FixedSubset, NoWarmup: s.cfg.NoWarmup, IgnoreSpeed: s.cfg.IgnoreSpeed, Overload: s.cfg.Overload,
 	})
 	e.SetMembers(s.Now, s.members)
 }
@@ -256,9 +258,13 @@
 
 // Submit submits a job to an entry and returns the ID of the request.
 func (s *Simulation) Submit(entry int, job dispatch.Job) dispatch.RequestID {
+	return s.SubmitRun(entry, job, job.Steps[0].Estimate)
+}
+
+// SubmitRun is like Submit for a job whose tasks run for another time than estimated.
+func (s *Simulation) SubmitRun(entry int, job dispatch.Job, run time.Duration) dispatch.RequestID {
 	s.lastRequest++
-	step := job.Steps[0]
-	s.specs[job.ID] = taskSpec{need: step.Need, runTime: step.Estimate}
+	s.specs[job.ID] = taskSpec{need: job.Steps[0].Need, runTime: run}
 	s.submitted[s.lastRequest] = submission{job: job.ID, at: s.Now}
 	if !job.ArrivedAt.IsZero() {
 		s.submitted[s.lastRequest] = submission{job: job.ID, at: job.ArrivedAt}
