--- a/core/executor/speed_test.go
+++ b/core/executor/speed_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"zinniasill"
 )
 
 // endpointRuns are runs at an endpoint, one after the other.
@@ -107,3 +109,24 @@
 		t.Errorf("%+v was reported after runs that must not count", sp.report(now))
 	}
 }
+
+// TestSpeedOfIncarnation guards against a speed of an endpoint that is reported for its next
+// incarnation, which may run on another machine.
+func TestSpeedOfIncarnation(t *testing.T) {
+	s := New(Config{Self: zinniasill.Node{ID: "agent", Incarnation: 1}})
+	learned, now := learn(1, []endpointRuns{{1.7, 100, 40 * time.Millisecond}})
+	for started := int64(1); started <= 2; started++ {
+		s.Announce(now, Announcement{
+			Incarnation: zinniasill.EndpointIncarnation{ID: "endpoint", StartedMillis: started}, Sequence: 1, Clock: time.Minute,
+		})
+		if speed := s.load(now).Speed; speed.Known() {
+			t.Errorf("speed %+v at the start of incarnation %d", speed, started)
+		}
+		s.stats.speed = learned
+		if speed := s.load(now).Speed; !speed.Known() {
+			t.Errorf("no speed is reported for incarnation %d", started)
+		}
+		s.EndpointLeft(now, "endpoint")
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLost, "endpoint-replaced")
+	}
+}
--- a/internal/directmodel/speed_test.go
+++ b/internal/directmodel/speed_test.go
@@ -69,8 +69,9 @@
 // speedResult is the number of measured jobs by kind.
 type speedResult struct {
 	jobs, inTime, late, notDone map[string]int
-	// slowStarts are the tasks that the slow endpoint started while it was slow.
-	slowStarts int
+	// slowStarts are the tasks that the slow endpoint started while it was slow, starts
+	// those that all endpoints started in that time.
+	slowStarts, starts int
 }
 
 // run runs the load with one of the rules of placement.
@@ -98,38 +99,45 @@
 		return job.run
 	}
 	interval := time.Duration(l.work() / (rate * float64(l.percent) / 100) * float64(time.Second))
-	faulty, slowStarts := false, 0
+	faulty, slow := false, speedResult{}
 	for due, began := time.Duration(0), s.Now; due < speedWarmUp+speedLength; due += interval {
 		for s.Now.Sub(began) < due {
 			s.Run(500 * time.Microsecond)
 		}
 		if due >= speedWarmUp && !faulty {
 			faulty = true
-			l.injectFault(s, &slowStarts)
+			l.injectFault(s, &slow)
 		}
 		submitRough(s, random, jobs, due >= speedWarmUp)
 	}
 	s.Run(4 * time.Second)
 	noViolations(t, s)
 	result := newSpeedResult(s, jobs)
-	result.slowStarts = slowStarts
+	result.slowStarts, result.starts = slow.slowStarts, slow.starts
 	return result
 }
 
-// injectFault injects the faults of the load, and counts the starts at the slow endpoint.
-func (l speedLoad) injectFault(s *directmodel.Simulation, slowStarts *int) {
+// injectFault injects the faults of the load, and counts the starts while an endpoint is
+// slow.
+func (l speedLoad) injectFault(s *directmodel.Simulation, result *speedResult) {
 	if l.fault != nil {
 		l.fault(s)
 	}
 	if !l.slow {
 		return
 	}
-	endpoint := s.Agents[0].Endpoint
-	before := endpoint.Starts
-	endpoint.Faults.Slow = slowFactor
+	slow := s.Agents[0].Endpoint
+	count := func(sign int) {
+		result.slowStarts += sign * slow.Starts
+		for _, a := range s.Agents {
+			result.starts += sign * a.Endpoint.Starts
+		}
+	}
+	count(-1)
+	slow.Faults.Slow = slowFactor
 	s.After(slowTime, func() {
-		endpoint.Faults.Slow = 0
-		*slowStarts = endpoint.Starts - before
+		slow.Faults.Slow = 0
+		count(1)
 	})
 }
 
@@ -270,7 +278,10 @@
 			today, bySpeed := tt.load.run(t, true), tt.load.run(t, false)
 			today.log(t, "ignoring speed")
 			bySpeed.log(t, "by speed")
-			t.Logf("starts at the slow endpoint: %d ignoring speeds, %d by speed", today.slowStarts, bySpeed.slowStarts)
+			t.Logf("%d starts at the slow endpoint ignoring speeds, %d by speed", today.slowStarts, bySpeed.slowStarts)
+			if bySpeed.slowStarts*20 > bySpeed.starts {
+				t.Errorf("the slow endpoint got %d of %d starts", bySpeed.slowStarts, bySpeed.starts)
+			}
 			if gain := bySpeed.inTimeShare("all") - today.inTimeShare("all"); gain < tt.gain {
 				t.Errorf("%d thousandths more jobs in time, want %d", gain, tt.gain)
 			}
