Answer the heartbeat that arrives before an agent has adopted its endpoint

Cause: an agent ignored the messages of entries until it had adopted its endpoint, and an entry sends the next heartbeat to an idle agent 350 ms later. So an agent that started after the entry reported up to 350 ms late. Change: it keeps the session and replies with its first report. Commands are still not handled before. Tests: TestReportAfterAdoption fails without the change. core/executor and internal/directmodel pass.

--- a/core/executor/lists_test.go
+++ b/core/executor/lists_test.go
@@ -121,3 +121,32 @@
 		t.Error("the run was not stopped after the end of its entry's lease")
 	}
 }
+
+// TestReportAfterAdoption guards against an agent that reports to an entry only with its next
+// heartbeat, because the last one arrived before the agent had adopted its endpoint.
+func TestReportAfterAdoption(t *testing.T) {
+	start := time.Unix(1000, 0)
+	s := &supervised{
+		Supervisor: executor.New(executor.Config{Self: zinniasill.Node{ID: "agent", Incarnation: 1}}), start: start, now: start,
+	}
+	s.Tick(s.now)
+	s.assign(message.Assign{Entry: 1, Session: 1, SentAt: time.Second})
+	s.Flush(s.now)
+	if out := s.Outbox(); len(out) != 0 {
+		t.Fatalf("%d reports before the endpoint is adopted", len(out))
+	}
+	s.Announce(s.now, executor.Announcement{
+		Incarnation: zinniasill.EndpointIncarnation{ID: "endpoint", StartedMillis: 1}, Sequence: 1,
+		Capacity: resource.Amount{MilliCPU: 1000, MemoryMB: 10}, Clock: time.Minute,
+	})
+	s.advance(0)
+	s.Flush(s.now)
+	out := s.Outbox()
+	if len(out) != 1 {
+		t.Fatalf("%d reports after the endpoint is adopted, want 1", len(out))
+	}
+	report, _ := out[0].Body.(message.Progress)
+	if out[0].To.ID != "entry" || report.Echo != time.Second || !report.Load.Accepting {
+		t.Errorf("report %+v to %s", report, out[0].To.ID)
+	}
+}
--- a/core/executor/session.go
+++ b/core/executor/session.go
@@ -53,7 +53,7 @@
 func (s *Supervisor) Receive(now time.Time, env message.Envelope) {
 	s.markStarted(now)
 	assign, ok := env.Body.(message.Assign)
-	if !ok || env.Version != message.Version || !s.reporting {
+	if !ok || env.Version != message.Version {
 		return
 	}
 	sess := s.session(now, env.From.ID, assign)
@@ -65,6 +65,11 @@
 	sess.newestSentAt = max(sess.newestSentAt, assign.SentAt)
 	sess.waiting = assign.Waiting
 	sess.reportInterval = assign.ReportInterval
+	if !s.reporting {
+		// The reply is sent with the first report. The entry sends the next heartbeat to
+		// an idle agent 350 ms later.
+		return
+	}
 	if assign.Agent == s.cfg.Self.Incarnation {
 		s.handleCommands(now, sess, assign)
 	}
