--- a/internal/directmodel/speed_test.go
+++ b/internal/directmodel/speed_test.go
@@ -31,9 +31,9 @@
 	// roughness is the standard deviation of the logarithms of run times and of the errors
 	// of estimates.
 	roughness = 0.4
-	// taskMilliCPU is the CPU that a task needs, endpointMilliCPU that of an endpoint.
-	taskMilliCPU     = 3300
-	endpointMilliCPU = 32_000
+	// speedTaskMilliCPU is the CPU that a task needs, endpointMilliCPU that of an endpoint.
+	speedTaskMilliCPU = 3300
+	endpointMilliCPU  = 32_000
 	// tailFactor is the multiple of the mean run time that a long run of its kind takes.
 	tailFactor = 7
 	slowFactor = 6.5
@@ -85,7 +85,7 @@
 	rate := 0.0 // nominal run time that the endpoints do in a second
 	for i, a := range s.Agents {
 		a.Endpoint.RunRatio = l.ratios[i/3%len(l.ratios)]
-		rate += math.Floor(endpointMilliCPU/taskMilliCPU) / a.Endpoint.RunRatio
+		rate += math.Floor(endpointMilliCPU/speedTaskMilliCPU) / a.Endpoint.RunRatio
 	}
 	s.Settle()
 	random := rand.New(rand.NewPCG(l.seed, 1))
@@ -161,7 +161,7 @@
 	run := rough(random, kind.run)
 	job := directmodel.Job(fmt.Sprintf("%s-%d", kind.name, len(jobs)), kind.tasks, rough(random, run))
 	job.Priority = priority
-	job.Steps[0].Need = resource.Amount{MilliCPU: taskMilliCPU, MemoryMB: 100}
+	job.Steps[0].Need = resource.Amount{MilliCPU: speedTaskMilliCPU, MemoryMB: 100}
 	goal := job.Steps[0].Estimate*16/10 + job.Objective
 	jobs[job.ID] = speedJob{kind: kind, run: run, goal: goal, measured: measured}
 	s.Submit(random.IntN(speedEntries), job)
