--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -34,7 +34,8 @@
 	// much sooner after a restart of all processes.
 	NoLeaseReplyTimeout = 150 * time.Millisecond
 	// FirstReplyTimeout is the ReplyTimeout of an entry without a configuration, which holds
-	// the requests of callers. There are few entries, and a reply takes about 10 ms.
+	// the requests of callers, until it has asked each replica once. A reply takes about
+	// 10 ms; the limit keeps entries from loading busy replicas with renewals.
 	FirstReplyTimeout = 50 * time.Millisecond
 	// minFullTimeout is the time without a full catalog after which it is requested again,
 	// perhaps from another replica. The time doubles with each request up to
--- a/core/lease/schedule.go
+++ b/core/lease/schedule.go
@@ -11,7 +11,7 @@
 	switch {
 	case h.valid(now):
 		return ReplyTimeout
-	case h.entry.Role == catalog.RoleEntry && h.catalog.Revision == 0:
+	case h.entry.Role == catalog.RoleEntry && h.catalog.Revision == 0 && h.sequence <= uint64(len(h.replicas)):
 		return FirstReplyTimeout
 	default:
 		return NoLeaseReplyTimeout
--- a/core/lease/schedule_test.go
+++ b/core/lease/schedule_test.go
@@ -101,11 +101,13 @@
 	tests := map[string]struct {
 		role       catalog.Role
 		configured bool
+		unanswered int // earlier renewals
 		want       time.Duration
 	}{
-		"entry without a configuration":      {catalog.RoleEntry, false, lease.FirstReplyTimeout},
-		"entry with one and without a lease": {catalog.RoleEntry, true, lease.NoLeaseReplyTimeout},
-		"agent without a configuration":      {catalog.RoleAgent, false, lease.NoLeaseReplyTimeout},
+		"entry without a configuration":      {catalog.RoleEntry, false, 0, lease.FirstReplyTimeout},
+		"entry that no replica has answered": {catalog.RoleEntry, false, 2, lease.NoLeaseReplyTimeout},
+		"entry with one and without a lease": {catalog.RoleEntry, true, 0, lease.NoLeaseReplyTimeout},
+		"agent without a configuration":      {catalog.RoleAgent, false, 0, lease.NoLeaseReplyTimeout},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -122,6 +124,10 @@
 				now = now.Add(lease.MinRenewInterval)
 				h.Tick(now)
 			}
+			for range tt.unanswered {
+				now = now.Add(lease.NoLeaseReplyTimeout)
+				h.Tick(now)
+			}
 			h.Outbox()
 			sentAt := now
 			for now = now.Add(time.Millisecond); ; now = now.Add(time.Millisecond) {
