--- a/core/budget/revoke.go
+++ b/core/budget/revoke.go
@@ -2,12 +2,19 @@
 
 import "time"
 
-// RevokeOldest tells the oldest account of a class whose body makes no progress to close. It
-// returns false if there is none. It frees a connection when none is idle.
-func (b *Budget) RevokeOldest(now time.Time, class Class) bool {
+// RevokeOldest tells up to count accounts of a class whose bodies make no progress to close,
+// the oldest first. It frees connections when none is idle.
+func (b *Budget) RevokeOldest(now time.Time, class Class, count int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.revokeWhere(now, 1, func(a *Account) bool { return a.req.Class == class })
+	b.detectPause(now)
+	for element := b.open.Front(); element != nil && count > 0; element = element.Next() {
+		a, ok := element.Value.(*Account)
+		if ok && a.req.Class == class && !a.closing && b.stalled(now, a) {
+			a.revoke()
+			count--
+		}
+	}
 }
 
 // revokeStalled tells stalled accounts to close until they hold the missing bytes. It returns
