Report what a refused request asked for and held; fix lint findings

Cause: the error of a refused grant named its class and reason only, so that operators could not tell a large request from a full budget. Change: ExhaustedError has the bytes asked for, held by the account, used by the class and held by the client. Findings of the linter are corrected.

--- a/core/budget/account.go
+++ b/core/budget/account.go
@@ -26,6 +26,11 @@
 	Class      Class
 	Reason     Reason
 	RetryAfter time.Duration
+	// Wanted and Held are the bytes that were asked for, and that the account held.
+	Wanted, Held int64
+	// Used are the bytes in use by the class, ClientHeld those of large requests of the
+	// client.
+	Used, ClientHeld int64
 	// Pending is set if other accounts have been told to close, so that the grant may fit
 	// within milliseconds.
 	Pending bool
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -63,7 +63,7 @@
 	// SmallRequest is the largest size of an account in bytes that can use the reserve. A
 	// job of 5 KiB needs three times its size with its headers while it is decoded.
 	SmallRequest = 32 << 10
-	// clientPercent is the part of the limit that the large requests of one client can hold.
+	// clientPercent is the part of the limit that the large requests of one caller can hold.
 	clientPercent = 24
 	// StallTime is how long a body may make no progress before its account may be told to
 	// close.
@@ -81,7 +81,7 @@
 type Config struct {
 	// Limit is the number of bytes that all accounts can hold.
 	Limit int64
-	// LargestRequest is the number of bytes that one client can hold at least, so that the
+	// LargestRequest is the number of bytes that one caller can hold at least, so that the
 	// bound for a client refuses no request that is alone.
 	LargestRequest int64
 }
@@ -144,13 +144,14 @@
 // grow grants n more bytes to an open account, or tells stalled accounts to close.
 func (b *Budget) grow(now time.Time, a *Account, n int64) error {
 	if a.closing {
-		return &ExhaustedError{Class: a.req.Class, Reason: Stalled, RetryAfter: retryAfter}
+		return b.exhausted(a, n, Stalled)
 	}
 	large := a.large || a.bytes+n > SmallRequest
 	reason, missing := b.shortage(a, n, large)
 	if missing > 0 {
-		pending := b.revokeStalled(now, a, reason, missing)
-		return &ExhaustedError{Class: a.req.Class, Reason: reason, RetryAfter: retryAfter, Pending: pending}
+		refusal := b.exhausted(a, n, reason)
+		refusal.Pending = b.revokeStalled(now, a, reason, missing)
+		return refusal
 	}
 	if large && !a.large {
 		a.large = true
@@ -164,10 +165,18 @@
 	return nil
 }
 
+// exhausted returns the error for n bytes that an account is not granted.
+func (b *Budget) exhausted(a *Account, n int64, reason Reason) *ExhaustedError {
+	return &ExhaustedError{
+		Class: a.req.Class, Reason: reason, RetryAfter: retryAfter, Wanted: n, Held: a.bytes,
+		Used: b.used[a.req.Class], ClientHeld: b.clients[a.clientID()],
+	}
+}
+
 // shortage returns how many bytes are missing for a grant, 0 if it fits, and why.
 func (b *Budget) shortage(a *Account, n int64, large bool) (Reason, int64) {
 	class := a.req.Class
-	if large && class != Peers {
+	if large && class == Callers {
 		held := b.clients[a.clientID()]
 		if !a.large {
 			held += a.bytes
--- a/io/httpserver/body.go
+++ b/io/httpserver/body.go
@@ -39,8 +39,8 @@
 	}
 	body := bodyReader{req: req, source: http.MaxBytesReader(w, r.Body, limit), announced: r.ContentLength}
 	data, err := body.read()
-	if err == nil && req != nil && !req.account.Settle() {
-		err = &budget.ExhaustedError{Reason: budget.Stalled, RetryAfter: budget.StallTime}
+	if err == nil && req != nil {
+		req.account.Settle()
 	}
 	return data, req.check(w, err)
 }
@@ -98,12 +98,12 @@
 // check prepares the connection for the refusal of a request. It returns the refusal in place
 // of an error that follows from it.
 func (req *request) check(w http.ResponseWriter, err error) error {
-	if err == nil || req == nil {
+	if req == nil {
 		return err
 	}
 	select {
 	case <-req.account.Revoked():
-		err = &budget.ExhaustedError{Class: req.cfg.Class, Reason: budget.Stalled, RetryAfter: budget.StallTime}
+		err = req.account.Grow(req.cfg.Clock.Now(), 0)
 	default:
 	}
 	var refusal *budget.ExhaustedError
@@ -116,6 +116,9 @@
 // refuse counts a refusal and makes the server close the connection after the response.
 func (req *request) refuse(w http.ResponseWriter, refusal *budget.ExhaustedError) {
 	req.cfg.Counters.Inc(CounterRefused, zinniasill.Reason(refusal.Reason))
+	if req.cfg.OnRefuse != nil {
+		req.cfg.OnRefuse(req.http, refusal)
+	}
 	closeAfterResponse(w, req)
 }
 
--- a/io/httpserver/connections.go
+++ b/io/httpserver/connections.go
@@ -22,7 +22,7 @@
 	minOwn  = 4
 	// clientPercent is the part of the callers' connections that one address can hold. All
 	// callers share one address behind a proxy, so it is large.
-	clientPercent = 75
+	clientPercent = 90
 	// headerGrace is how long a header that arrives keeps its connection from being closed
 	// as idle.
 	headerGrace = time.Second
@@ -42,9 +42,9 @@
 	// SocketBuffer is the size of the kernel's buffers of a connection in bytes, the
 	// system's default if 0. What they hold counts towards the memory of some machines.
 	SocketBuffer int
-	Budget     *budget.Budget
-	Clock      zinniasill.Clock
-	Counters   zinniasill.Counters
+	Budget       *budget.Budget
+	Clock        zinniasill.Clock
+	Counters     zinniasill.Counters
 }
 
 // Connections limits the open connections of the servers of a process. Use NewConnections.
--- a/io/httpserver/httpserver.go
+++ b/io/httpserver/httpserver.go
@@ -62,6 +62,8 @@
 	// Refuse responds to a request that was refused before it reached the handler. The
 	// default is status 503 with Retry-After.
 	Refuse func(w http.ResponseWriter, r *http.Request, refusal *budget.ExhaustedError)
+	// OnRefuse, if set, is called for each request that is refused for want of memory.
+	OnRefuse func(r *http.Request, refusal *budget.ExhaustedError)
 	// HeaderTimeout, BodyTimeout and IdleTimeout bound the wait for a request's header, for
 	// all of the request, and for the next request. BodyTimeout is 0 for no bound.
 	HeaderTimeout, BodyTimeout, IdleTimeout time.Duration
@@ -106,6 +108,7 @@
 // request is a request in progress and its account.
 type request struct {
 	cfg     *Config
+	http    *http.Request
 	account *budget.Account
 	conn    *conn
 }
@@ -119,7 +122,7 @@
 // panics.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(*conn)
-	req := &request{cfg: &h.cfg, conn: c}
+	req := &request{cfg: &h.cfg, http: r, conn: c}
 	account, err := h.cfg.Budget.Open(h.cfg.Clock.Now(), budget.Request{
 		Class: h.class(r), Client: clientAddress(r.RemoteAddr), Size: headerSize(r), OnRevoke: c.abort,
 	})
--- a/io/httpserver/jsonsize.go
+++ b/io/httpserver/jsonsize.go
@@ -7,52 +7,52 @@
 // header of a string.
 const innerElementBytes = 24
 
-// JSONSize estimates the memory in bytes that the decoded form of data needs at most while it
-// is decoded by encoding/json: its strings, once as they are and once without escapes, and
-// the arrays, which grow by steps with the former array still in use. elementBytes is the
-// size of an element of an array that is in no other array. A body of a few bytes for each
-// element can decode to a hundred times its size.
-func JSONSize(data []byte, elementBytes int64) int64 {
-	outer, inner := jsonElements(data)
-	return 2*int64(len(data)) + (outer*elementBytes+inner*innerElementBytes)*9/4
+// JSONShape counts the parts of a JSON text that take memory when it is decoded, whatever
+// their length. The counts are upper bounds.
+type JSONShape struct {
+	// Elements counts the elements of arrays that are in no other array, InnerElements those
+	// of the other arrays, and Fields the fields of objects.
+	Elements, InnerElements, Fields int64
 }
 
-// OuterElements returns an upper bound of the number of elements of the arrays in data that
-// are in no other array.
-func OuterElements(data []byte) int64 {
-	outer, _ := jsonElements(data)
-	return outer
+// Size estimates the memory in bytes that the decoded form of the elements needs at most
+// while it is decoded by encoding/json: arrays grow by steps with the former array still in
+// use. elementBytes is the size of one of Elements. A body with few bytes for each element
+// can decode to a hundred times its size.
+func (s JSONShape) Size(elementBytes int64) int64 {
+	return (s.Elements*elementBytes + s.InnerElements*innerElementBytes) * 9 / 4
 }
 
-// jsonElements counts the elements of arrays. outer counts those of arrays that are in no
-// other array. data need not be valid.
-func jsonElements(data []byte) (outer, inner int64) {
+// JSONSize returns the size of the elements of data, and of its strings, once as they are and
+// once without escapes.
+func JSONSize(data []byte, elementBytes int64) int64 {
+	return 2*int64(len(data)) + ShapeOf(data).Size(elementBytes)
+}
+
+// ShapeOf returns the shape of a JSON text, which need not be valid.
+func ShapeOf(data []byte) JSONShape {
+	var shape JSONShape
 	// open holds the brackets that are not closed yet, arrays the number of '[' in it.
 	var open []byte
 	arrays := 0
-	count := func() {
-		if arrays == 1 {
-			outer++
-		} else {
-			inner++
-		}
-	}
 	for i := 0; i < len(data); i++ {
 		switch c := data[i]; c {
 		case '"':
 			i = endOfString(data, i+1)
+		case ':':
+			shape.Fields++
 		case '[', '{':
 			if len(open) == maxJSONDepth {
-				return outer, inner
+				return shape
 			}
 			open = append(open, c)
 			if c == '[' {
 				arrays++
-				count()
+				shape.addElement(arrays)
 			}
 		case ']', '}':
 			if len(open) == 0 {
-				return outer, inner
+				return shape
 			}
 			if open[len(open)-1] == '[' {
 				arrays--
@@ -60,11 +60,20 @@
 			open = open[:len(open)-1]
 		case ',':
 			if len(open) > 0 && open[len(open)-1] == '[' {
-				count()
+				shape.addElement(arrays)
 			}
 		}
 	}
-	return outer, inner
+	return shape
+}
+
+// addElement counts an element of an array within a number of arrays.
+func (s *JSONShape) addElement(arrays int) {
+	if arrays == 1 {
+		s.Elements++
+	} else {
+		s.InnerElements++
+	}
 }
 
 // endOfString returns the index of the quotation mark that ends the string whose content
