Serve all HTTP interfaces from io/httpserver and its budget

A body that io/caller could not read was answered not-run, which is not known of earlier submissions; it is unknown now.

The records of a role are bounded by 15% of the memory limit.

--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -1,21 +1,20 @@
 package caller
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/control"
 	"zinniasill/core/message"
+	"zinniasill/io/httpserver"
 )
 
 // State is the state of a job.
@@ -99,38 +98,41 @@
 // decodeSubmission reads and validates a submission. If fields or headers are invalid, the
 // refusal lists all of them.
 func decodeSubmission(w http.ResponseWriter, r *http.Request) (decodedRequest, *message.Answer) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodySize))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return decodedRequest{}, invalidRequest(zinniasill.ReasonTooLarge, fmt.Sprintf("the body is larger than %d bytes", maxBodySize))
-	}
+	data, err := httpserver.ReadBody(w, r, MaxBodySize)
 	if err != nil {
-		return decodedRequest{}, invalidRequest(zinniasill.ReasonBadRequest, "read the body: "+err.Error())
+		return decodedRequest{}, unreadableBody(err)
+	}
+	shape := httpserver.ShapeOf(data)
+	if problem := validateShape(shape); problem != nil {
+		return decodedRequest{}, problem
 	}
-	var body Job
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
-		return decodedRequest{}, invalidRequest(zinniasill.ReasonBadRequest, "body"+errorPosition(err, decoder)+": "+err.Error())
+	if err := httpserver.Reserve(w, r, int64(len(data))+shape.Size(taskBytes)); err != nil {
+		return decodedRequest{}, unreadableBody(err)
 	}
-	if decoder.More() {
-		text := fmt.Sprintf("body at byte %d: more data after the job", decoder.InputOffset())
-		return decodedRequest{}, invalidRequest(zinniasill.ReasonBadRequest, text)
+	body, err := decodeJob(data)
+	if err != nil {
+		return decodedRequest{}, invalidRequest(zinniasill.ReasonBadRequest, "body: "+err.Error())
 	}
+	httpserver.Keep(r, int64(len(data))+requestBytes)
 	return validate(r, body)
 }
 
-// errorPosition describes where in the body a decoding error occurred.
-func errorPosition(err error, decoder *json.Decoder) string {
-	var syntax *json.SyntaxError
-	var mismatch *json.UnmarshalTypeError
+// unreadableBody returns the refusal of a request whose body was not read to its end. What
+// has arrived says nothing about an earlier submission with the same key.
+func unreadableBody(err error) *message.Answer {
+	var tooLarge *http.MaxBytesError
+	var refusal *budget.ExhaustedError
 	switch {
-	case errors.As(err, &syntax):
-		return fmt.Sprintf(" at byte %d", syntax.Offset)
-	case errors.As(err, &mismatch):
-		return fmt.Sprintf(" at byte %d, field %q", mismatch.Offset, mismatch.Field)
+	case errors.As(err, &tooLarge):
+		return invalidRequest(zinniasill.ReasonTooLarge, fmt.Sprintf("the body is larger than %d bytes", MaxBodySize))
+	case errors.As(err, &refusal):
+		answer := exhaustedAnswer(refusal)
+		return &answer
 	default:
-		return fmt.Sprintf(" near byte %d", decoder.InputOffset())
+		return &message.Answer{
+			Code: zinniasill.ReasonBadRequest, Ran: zinniasill.RanUnknown, Retry: zinniasill.RetrySameKey,
+			Message: "read the body: " + err.Error(),
+		}
 	}
 }
 
@@ -193,7 +195,7 @@
 // validateSize returns which limit a job exceeds, or an empty string.
 func validateSize(body Job) string {
 	if len(body.Tasks) > message.MaxTasks {
-		return fmt.Sprintf("tasks: %d tasks are more than %d", len(body.Tasks), message.MaxTasks)
+		return tooManyTasks(int64(len(body.Tasks)))
 	}
 	for i, task := range body.Tasks {
 		if len(task.Payload) > message.MaxPayload {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -1,7 +1,7 @@
 // Package caller implements the HTTP/JSON API that entries serve to callers.
 //
 //	handler := caller.New(caller.Config{Jobs: entry, MaxRequests: 4096, Counters: counters})
-//	server := caller.Server(handler)
+//	server := httpserver.New(caller.Server(handler, budget.Callers))
 //	err := server.Serve(listener)
 //
 // Every response carries the key of its job and, in the header Job-Epoch, the current
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,8 +19,10 @@
 	"github.com/julienschmidt/httprouter"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/job"
 	"zinniasill/core/message"
+	"zinniasill/io/httpserver"
 )
 
 // HTTP headers of the API.
@@ -29,9 +32,9 @@
 )
 
 const (
-	// maxBodySize is the maximum size of a request body in bytes. Base64 encodes payloads
+	// MaxBodySize is the maximum size of a request body in bytes. Base64 encodes payloads
 	// in 4/3 of their size; 1 MiB is left for the JSON around them.
-	maxBodySize = message.MaxBody/3*4 + 1<<20
+	MaxBodySize = message.MaxBody/3*4 + 1<<20
 	// DefaultWait is how long a submission waits for its answer unless it sets a wait.
 	DefaultWait = 30 * time.Second
 	maxWait     = 10 * time.Minute
@@ -88,13 +91,29 @@
 	return router
 }
 
-// Server returns a server with timeouts for slow clients.
-func Server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
+// Server returns the configuration of a server with timeouts for slow clients. Its refusals
+// for want of memory are in the format of this package; other fields are left to the owner of
+// the process.
+func Server(handler http.Handler, class budget.Class) httpserver.Config {
+	cfg := httpserver.Config{
+		Handler: handler, Class: class,
+		HeaderTimeout: headerTimeout, BodyTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+	}
+	if class == budget.Callers {
+		cfg.Refuse = func(w http.ResponseWriter, _ *http.Request, refusal *budget.ExhaustedError) {
+			answer := exhaustedAnswer(refusal)
+			writeError(w, httpStatus(answer.Code), "", answer)
+		}
+	}
+	return cfg
+}
+
+// exhaustedAnswer returns the refusal of a request for which there is no memory. An earlier
+// submission with the same key may have run, as in limitRequests.
+func exhaustedAnswer(refusal *budget.ExhaustedError) message.Answer {
+	return message.Answer{
+		Code: zinniasill.ReasonBusy, Ran: zinniasill.RanUnknown, Retry: zinniasill.RetrySameKey,
+		RetryAfter: refusal.RetryAfter, Message: "the entry has too little memory for the request (" + string(refusal.Reason) + ")",
 	}
 }
 
@@ -130,7 +149,7 @@
 	key := request.submission.Key.Client
 	switch {
 	case err == nil:
-		h.answer(w, key, answer)
+		h.answer(w, r, key, answer)
 	case ctx.Err() != nil:
 		h.writeJSON(w, http.StatusAccepted, JobStatus{Key: key, State: StateInProgress})
 	default:
@@ -159,7 +178,7 @@
 	case !status.Known:
 		h.writeError(w, http.StatusNotFound, key.Client, notFoundAnswer())
 	case status.Answer != nil:
-		h.answer(w, key.Client, *status.Answer)
+		h.answer(w, r, key.Client, *status.Answer)
 	default:
 		h.writeJSON(w, http.StatusOK, JobStatus{
 			Key: key.Client, State: StateInProgress, Tasks: status.Tasks, Finished: status.Finished,
@@ -194,16 +213,33 @@
 }
 
 // answer writes the final answer of a job.
-func (h *handler) answer(w http.ResponseWriter, key string, answer message.Answer) {
+func (h *handler) answer(w http.ResponseWriter, r *http.Request, key string, answer message.Answer) {
 	if !answer.Complete {
 		h.writeError(w, httpStatus(answer.Code), key, answer)
 		return
 	}
+	if size := encodedBytes(answer.Outputs); size > budget.SmallRequest {
+		var refusal *budget.ExhaustedError
+		if errors.As(httpserver.ReserveResponse(w, r, size), &refusal) {
+			h.refuse(w, key, exhaustedAnswer(refusal))
+			return
+		}
+	}
 	h.writeJSON(w, http.StatusOK, JobStatus{
 		Key: key, State: StateComplete, Tasks: len(answer.Outputs), Finished: len(answer.Outputs), Outputs: answer.Outputs,
 	})
 }
 
+// encodedBytes returns the memory of outputs and of the JSON text that they are encoded in,
+// in base64.
+func encodedBytes(outputs [][]byte) int64 {
+	size := int64(0)
+	for _, output := range outputs {
+		size += int64(len(output)) * 7 / 3
+	}
+	return size
+}
+
 // refuse counts and writes the refusal of a request that did not reach a job.
 func (h *handler) refuse(w http.ResponseWriter, key string, answer message.Answer) {
 	h.cfg.Counters.Inc(CounterRefusedRequests, answer.Code)
@@ -211,17 +247,32 @@
 }
 
 func (h *handler) writeError(w http.ResponseWriter, status int, key string, answer message.Answer) {
+	h.setEpoch(w)
+	writeError(w, status, key, answer)
+}
+
+func (h *handler) writeJSON(w http.ResponseWriter, status int, body any) {
+	h.setEpoch(w)
+	writeJSON(w, status, body)
+}
+
+// setEpoch sets the header with the current epoch.
+func (h *handler) setEpoch(w http.ResponseWriter) {
+	w.Header().Set(HeaderEpoch, strconv.FormatUint(uint64(h.cfg.Jobs.Epoch()), 10))
+}
+
+func writeError(w http.ResponseWriter, status int, key string, answer message.Answer) {
 	if answer.RetryAfter > 0 {
 		seconds := int((answer.RetryAfter + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	h.writeJSON(w, status, Error{
+	writeJSON(w, status, Error{
 		Key: key, Code: answer.Code, Ran: answer.Ran, Retry: answer.Retry,
 		RetryAfterMS: answer.RetryAfter.Milliseconds(), Message: answer.Message,
 	})
 }
 
-func (h *handler) writeJSON(w http.ResponseWriter, status int, body any) {
+func writeJSON(w http.ResponseWriter, status int, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		http.Error(w, "encode the answer: "+err.Error(), http.StatusInternalServerError)
@@ -229,7 +280,6 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
-	w.Header().Set(HeaderEpoch, strconv.FormatUint(uint64(h.cfg.Jobs.Epoch()), 10))
 	w.WriteHeader(status)
 	_, _ = w.Write(encoded)
 }
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -26,7 +26,9 @@
 	"github.com/julienschmidt/httprouter"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/control"
+	"zinniasill/io/httpserver"
 )
 
 const (
@@ -128,8 +130,18 @@
 }
 
 func (e *Endpoint) announce(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := httpserver.ReadBody(w, r, maxAnnouncementSize)
+	var refusal *budget.ExhaustedError
+	if errors.As(err, &refusal) {
+		httpserver.WriteUnavailable(w, refusal.RetryAfter)
+		return
+	}
+	if err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
 	var body Announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementSize))
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&body); err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
--- a/io/node/adapter.go
+++ b/io/node/adapter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +11,7 @@
 	"zinniasill/core/message"
 	"zinniasill/core/route"
 	"zinniasill/io/daemon"
+	"zinniasill/io/httpserver"
 	"zinniasill/io/peer"
 )
 
@@ -34,7 +34,9 @@
 // AdapterServer is an HTTP server and the address that it listens on.
 type AdapterServer struct {
 	Address string
-	Server  *http.Server
+	// Server is the configuration of the server: its handler, class and timeouts, and how it
+	// responds to a request that is refused for want of memory.
+	Server httpserver.Config
 }
 
 // The links between dispatchers and supervisors are numerous, and their state machines
--- a/io/node/allinone.go
+++ b/io/node/allinone.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/consensus"
 	"zinniasill/io/caller"
 	"zinniasill/io/identity"
@@ -43,8 +45,22 @@
 	mux.Handle("/", p.require(identity.Operator, control.Handler()))
 	if s.EndpointHTTP == "" {
 		mux.Handle("/v1/endpoint", agent.Handler())
-	} else if err := p.listen(s.EndpointHTTP, caller.Server(agent.Handler())); err != nil {
+	} else if err := p.listen(s.EndpointHTTP, caller.Server(agent.Handler(), budget.Endpoint)); err != nil {
 		return err
 	}
-	return p.listenSecure(s.HTTP, mux)
+	cfg := caller.Server(mux, budget.Callers)
+	cfg.Classify = classify
+	return p.listenSecure(s.HTTP, cfg)
+}
+
+// classify returns the class of a request to the address that all roles share.
+func classify(r *http.Request) budget.Class {
+	switch path := r.URL.Path; {
+	case path == "/v1/jobs", path == "/v1/epoch", strings.HasPrefix(path, "/v1/jobs/"):
+		return budget.Callers
+	case path == "/v1/endpoint":
+		return budget.Endpoint
+	default:
+		return budget.Operators
+	}
 }
--- a/io/node/build.go
+++ b/io/node/build.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/catalog"
 	"zinniasill/core/consensus"
 	"zinniasill/core/control"
@@ -18,6 +19,7 @@
 	"zinniasill/core/placement"
 	"zinniasill/io/caller"
 	"zinniasill/io/daemon"
+	"zinniasill/io/httpserver"
 	"zinniasill/io/identity"
 	"zinniasill/io/metrics"
 	"zinniasill/io/peer"
@@ -41,6 +43,11 @@
 	if cfg.Metrics != nil {
 		p.metrics = cfg.Metrics
 	}
+	p.refusals = &refusalLog{log: p.log, clock: p.clock}
+	if cfg.Adapter != nil {
+		p.refusals.recorder = cfg.Adapter.Recorder
+	}
+	p.openLimits()
 	p.members, _ = settings.ParseMembers(cfg.Settings.Members)
 	build := map[settings.Role]func() error{
 		settings.RoleControl:  p.buildControl,
@@ -62,7 +69,10 @@
 		return nil, err
 	}
 	p.registerTrafficGauges()
-	health := &http.Server{Handler: metrics.Handler(p.metrics, p.Ready), ReadHeaderTimeout: headerTimeout}
+	health := httpserver.Config{
+		Handler: metrics.Handler(p.metrics, p.Ready), Class: budget.Monitoring,
+		HeaderTimeout: headerTimeout, BodyTimeout: headerTimeout, IdleTimeout: monitoringIdleTimeout,
+	}
 	if err := p.listen(cfg.Settings.Metrics, health); err != nil {
 		p.closeListeners()
 		return nil, err
@@ -74,6 +84,10 @@
 // hold a connection while it sends its request headers.
 const headerTimeout = 5 * time.Second
 
+// monitoringIdleTimeout is how long a connection for metrics stays open without a request.
+// Metrics are commonly read every minute at least.
+const monitoringIdleTimeout = 2 * time.Minute
+
 // openIdentity loads the TLS files named in the settings, if there are any.
 func (p *Process) openIdentity() error {
 	files := p.cfg.Settings.Files()
@@ -96,12 +110,11 @@
 
 // listenSecure opens a server that uses TLS if the settings name TLS files. An empty
 // address opens none.
-func (p *Process) listenSecure(address string, handler http.Handler) error {
-	serve := caller.Server(handler)
+func (p *Process) listenSecure(address string, cfg httpserver.Config) error {
 	if p.identity != nil {
-		serve.ErrorLog = p.identity.HTTPLog()
+		cfg.ErrorLog = p.identity.HTTPLog()
 	}
-	if err := p.listen(address, serve); err != nil || address == "" {
+	if err := p.listen(address, cfg); err != nil || address == "" {
 		return err
 	}
 	if p.identity != nil {
@@ -148,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	if err := p.listenSecure(s.HTTP, p.require(identity.Operator, role.Handler())); err != nil {
+	if err := p.listenSecure(s.HTTP, caller.Server(p.require(identity.Operator, role.Handler()), budget.Operators)); err != nil {
 		return err
 	}
 	if err := p.serveAdapter(func(a *Adapter) []AdapterServer { return a.Control(role) }); err != nil {
@@ -236,7 +249,7 @@
 	link := p.newLink()
 	role := p.newEntry(p.report(s.Name, p.address()), link)
 	p.registerLeaseGauges(role.LeaseRenewer(), "")
-	if err := p.listenSecure(s.HTTP, p.callers(role)); err != nil {
+	if err := p.listenSecure(s.HTTP, caller.Server(p.callers(role), budget.Callers)); err != nil {
 		return err
 	}
 	return p.openEntryTransport(role, link, s.Listen, s.Advertise)
@@ -248,7 +261,7 @@
 	link := p.newLink()
 	role := p.newEntry(p.report(s.Name+entrySuffix, s.EntryListen), link)
 	p.registerLeaseGauges(role.LeaseRenewer(), "")
-	if err := p.listenSecure(s.EntryHTTP, p.callers(role)); err != nil {
+	if err := p.listenSecure(s.EntryHTTP, caller.Server(p.callers(role), budget.Callers)); err != nil {
 		return err
 	}
 	return p.openEntryTransport(role, link, s.EntryListen, "")
@@ -260,7 +273,7 @@
 		Report: report, Replicas: shuffled(random, p.memberNames()), Sender: link,
 		Clock: p.clock, Counters: p.metrics, Log: p.log,
 		Picker: &placement.BetterOfTwo{Rand: random}, Rand: random,
-		Limits: job.Limits{MaxRecordBytes: p.cfg.Settings.EntryRecords << 20},
+		Limits: job.Limits{MaxRecordBytes: recordLimit(p.cfg.Settings, p.cfg.Settings.EntryRecords)},
 	})
 	p.metrics.Gauge("entry_record_bytes", func() float64 { return float64(role.records.Load()) })
 	p.addRole(role, func(ctx context.Context) <-chan error { return infallible(role.Start(ctx)) })
@@ -293,7 +306,7 @@
 	link := p.newLink()
 	role := p.newAgent(p.report(s.Name, p.address()), link)
 	p.registerLeaseGauges(role.LeaseRenewer(), "")
-	if err := p.listen(s.HTTP, caller.Server(role.Handler())); err != nil {
+	if err := p.listen(s.HTTP, caller.Server(role.Handler(), budget.Endpoint)); err != nil {
 		return err
 	}
 	return p.openTransport(link, peer.Config{
@@ -307,7 +320,7 @@
 	role := NewAgent(AgentConfig{
 		Report: report, Replicas: shuffled(newRand(), p.memberNames()), Sender: link,
 		Clock: p.clock, Counters: p.metrics, Log: p.log,
-		RecordLimit: p.cfg.Settings.AgentRecords << 20,
+		RecordLimit: recordLimit(p.cfg.Settings, p.cfg.Settings.AgentRecords),
 	})
 	p.metrics.Gauge("agent_record_bytes", func() float64 { return float64(role.records.Load()) })
 	p.metrics.Gauge("agent_busy_slots", func() float64 { return float64(role.busy.Load()) })
--- /dev/null
+++ b/io/node/limits.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"zinniasill"
+	"zinniasill/core/budget"
+	"zinniasill/io/caller"
+	"zinniasill/io/httpserver"
+	"zinniasill/io/settings"
+)
+
+// Parts of the memory limit of a process in percent. The Go runtime may use 70 percent; what
+// is not listed is for the state of the roles and for garbage.
+const (
+	budgetPercent     = 30
+	connectionPercent = 30
+	// recordPercent bounds the records of one role, whatever its own setting allows.
+	recordPercent = 15
+	// socketPercent is the memory of the kernel for received and unsent data.
+	socketPercent = 10
+)
+
+const (
+	// defaultMemoryLimit applies if the limit is neither set nor detected.
+	defaultMemoryLimit = 1 << 30
+	// defaultDescriptorLimit applies if the limit is neither set nor known to the system.
+	defaultDescriptorLimit = 1024
+	// ownDescriptorPart is the part of the descriptors that is kept for files and links, one
+	// in ownDescriptorPart, and minOwnDescriptors the least number of them.
+	ownDescriptorPart = 8
+	minOwnDescriptors = 32
+	minConnections    = 16
+	// minSocketBuffer and maxSocketBuffer bound the size of a buffer of a connection. The
+	// smallest one still takes 16 MB a second over a link of 1 ms.
+	minSocketBuffer = 16 << 10
+	maxSocketBuffer = 256 << 10
+	// crowdLogInterval is the least time between two log lines on refused clients.
+	crowdLogInterval = time.Second
+)
+
+// memoryLimit returns the memory limit of a process in bytes.
+func memoryLimit(s settings.Settings) int64 {
+	if s.MemoryLimit > 0 {
+		return s.MemoryLimit
+	}
+	return defaultMemoryLimit
+}
+
+// descriptorLimit returns the number of descriptors that a process can open.
+func descriptorLimit(s settings.Settings) int {
+	if s.DescriptorLimit > 0 {
+		return s.DescriptorLimit
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return defaultDescriptorLimit
+	}
+	const most = 1 << 20
+	return int(min(limit.Cur, most))
+}
+
+// connectionLimit returns the number of connections that HTTP clients can open.
+func connectionLimit(s settings.Settings) int {
+	descriptors := descriptorLimit(s)
+	own := max(descriptors/ownDescriptorPart, minOwnDescriptors)
+	byMemory := memoryLimit(s) / 100 * connectionPercent / httpserver.ConnectionBytes
+	return max(min(descriptors-own, int(byMemory)), minConnections)
+}
+
+// socketBuffer returns the size of a buffer of a connection.
+func socketBuffer(s settings.Settings) int {
+	each := memoryLimit(s) / 100 * socketPercent / int64(2*connectionLimit(s))
+	return int(min(max(each, minSocketBuffer), maxSocketBuffer))
+}
+
+// recordLimit returns the maximum size of the records of a role in bytes for a setting in
+// MiB.
+func recordLimit(s settings.Settings, mebibytes int) int {
+	return int(min(int64(mebibytes)<<20, memoryLimit(s)/100*recordPercent))
+}
+
+// openLimits creates the budget and the connections of the process.
+func (p *Process) openLimits() {
+	s := p.cfg.Settings
+	p.budget = budget.New(budget.Config{
+		Limit:          memoryLimit(s) / 100 * budgetPercent,
+		LargestRequest: httpserver.BodyBytes(caller.MaxBodySize),
+	})
+	p.connections = httpserver.NewConnections(httpserver.ConnectionsConfig{
+		Limit: connectionLimit(s), SocketBuffer: socketBuffer(s), Budget: p.budget, Clock: p.clock, Counters: p.metrics,
+	})
+	p.start = append(p.start, func(ctx context.Context) <-chan error { return infallible(p.connections.Start(ctx)) })
+	p.metrics.Gauge("budget_limit_bytes", func() float64 { return float64(p.budget.Limit()) })
+	p.metrics.Gauge("http_connection_limit", func() float64 { return float64(connectionLimit(s)) })
+	p.metrics.Gauge("http_oldest_body_seconds", func() float64 { return p.budget.OldestBody(p.clock.Now()).Seconds() })
+	for _, class := range budget.Classes() {
+		label := `{class="` + string(class) + `"}`
+		p.metrics.Gauge("budget_used_bytes"+label, func() float64 { return float64(p.budget.Used(class)) })
+		p.metrics.Gauge("http_connections"+label, func() float64 { return float64(p.connections.Open(class)) })
+	}
+	p.log.WithFields(logrus.Fields{
+		"memory-limit": memoryLimit(s), "budget": p.budget.Limit(), "connections": connectionLimit(s),
+		"socket-buffer": socketBuffer(s),
+	}).Info("limits in force")
+}
+
+// serverConfig completes the configuration of a server with what all servers of a process
+// share.
+func (p *Process) serverConfig(cfg httpserver.Config) httpserver.Config {
+	cfg.Budget = p.budget
+	cfg.Clock = p.clock
+	cfg.Counters = p.metrics
+	cfg.OnRefuse = p.refusals.record
+	return cfg
+}
+
+// refusalLog writes a line for requests that are refused for want of memory: a decision line
+// for each if there is a recorder, and otherwise at most one log line in crowdLogInterval.
+type refusalLog struct {
+	recorder zinniasill.Recorder
+	log      logrus.FieldLogger
+	clock    zinniasill.Clock
+	mu       sync.Mutex
+	last     time.Time
+	skipped  int
+}
+
+// record writes the line of a refused request.
+func (l *refusalLog) record(r *http.Request, refusal *budget.ExhaustedError) {
+	if l.recorder != nil {
+		l.recorder.Record("request-refused", slog.String("host", r.Host), slog.String("path", r.URL.Path),
+			slog.String("method", r.Method), slog.String("reason", string(refusal.Reason)),
+			slog.String("class", string(refusal.Class)), slog.String("client", r.RemoteAddr),
+			slog.Int64("body-bytes", r.ContentLength), slog.Int64("held-bytes", refusal.Held),
+			slog.Int64("wanted-bytes", refusal.Wanted), slog.Int64("class-bytes", refusal.Used),
+			slog.Int64("client-bytes", refusal.ClientHeld))
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	if now.Sub(l.last) < crowdLogInterval {
+		l.skipped++
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"path": r.URL.Path, "method": r.Method, "reason": refusal.Reason, "class": refusal.Class,
+		"client": r.RemoteAddr, "body-bytes": r.ContentLength, "held-bytes": refusal.Held,
+		"wanted-bytes": refusal.Wanted, "class-bytes": refusal.Used, "client-bytes": refusal.ClientHeld,
+		"more": l.skipped,
+	}).Warn("request refused for want of memory")
+	l.last, l.skipped = now, 0
+}
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -21,9 +21,11 @@
 	"github.com/sirupsen/logrus"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/consensus"
 	"zinniasill/core/control"
 	"zinniasill/core/message"
+	"zinniasill/io/httpserver"
 	"zinniasill/io/identity"
 	"zinniasill/io/metrics"
 	"zinniasill/io/peer"
@@ -58,7 +60,12 @@
 	log     logrus.FieldLogger
 	clock   zinniasill.Clock
 	metrics *metrics.Set
-	members []consensus.Member
+	// budget and connections bound what clients can occupy, and refusals reports those that
+	// are refused.
+	budget      *budget.Budget
+	connections *httpserver.Connections
+	refusals    *refusalLog
+	members     []consensus.Member
 	// links are the senders of the roles, local the receive functions of the roles by
 	// node ID.
 	links      []*peer.Loopback
@@ -110,15 +117,18 @@
 }
 
 // listen opens a listener for a server. An empty address opens none.
-func (p *Process) listen(address string, serve *http.Server) error {
+func (p *Process) listen(address string, cfg httpserver.Config) error {
 	if address == "" {
 		return nil
 	}
+	serve := httpserver.New(p.serverConfig(cfg))
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	p.servers = append(p.servers, server{Server: serve, listener: listener, unused: trackUnused(serve)})
+	p.servers = append(p.servers, server{
+		Server: serve, listener: p.connections.Listen(listener, cfg.Class), unused: trackUnused(serve),
+	})
 	return nil
 }
 
--- a/io/node/unused.go
+++ b/io/node/unused.go
@@ -17,16 +17,22 @@
 type unusedConns struct {
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
+	// next is the hook that the server had before.
+	next func(net.Conn, http.ConnState)
 }
 
-// trackUnused starts tracking the unused connections of a server. It sets ConnState.
+// trackUnused starts tracking the unused connections of a server. It sets ConnState and calls
+// the hook that was set before.
 func trackUnused(serve *http.Server) *unusedConns {
-	unused := &unusedConns{open: map[net.Conn]struct{}{}}
+	unused := &unusedConns{open: map[net.Conn]struct{}{}, next: serve.ConnState}
 	serve.ConnState = unused.connStateChanged
 	return unused
 }
 
 func (u *unusedConns) connStateChanged(conn net.Conn, state http.ConnState) {
+	if u.next != nil {
+		u.next(conn, state)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if state == http.StateNew {
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -20,18 +20,25 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
+	"math"
 	"net/http"
+	"strconv"
 
 	"github.com/julienschmidt/httprouter"
 
+	"zinniasill/core/budget"
 	"zinniasill/core/catalog"
 	"zinniasill/core/control"
+	"zinniasill/io/httpserver"
 )
 
 // MaxBody is the maximum size of a request body in bytes.
 const MaxBody = 64 << 10
 
+// decodedFactor is the memory of a decoded body in multiples of its size. Objects with fields
+// of a few bytes need the most.
+const decodedFactor = 16
+
 // Configuration reads and changes the cluster's configuration.
 type Configuration interface {
 	// Propose proposes a command and returns its result after it was committed. After an
@@ -197,19 +204,30 @@
 	writeJSON(w, http.StatusOK, newStatus(current, members))
 }
 
+// readBody reads the body of a request and asks for the memory to decode it. Bodies are small,
+// so a fixed factor covers all of their formats.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	body, err := httpserver.ReadBody(w, r, MaxBody)
+	if err == nil {
+		err = httpserver.Reserve(w, r, int64(len(body))*decodedFactor)
+	}
 	if err == nil {
 		return body, nil
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var refusal *budget.ExhaustedError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, &Error{
 			Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge,
 			Message: "the body is larger than 64 KiB",
 		}
+	case errors.As(err, &refusal):
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+		return nil, outcomeUnknown(err)
+	default:
+		return nil, &Error{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: "read body: " + err.Error()}
 	}
-	return nil, &Error{Status: http.StatusBadRequest, Code: CodeBadRequest, Message: "read body: " + err.Error()}
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -78,6 +78,10 @@
 	// it if its node names allow a shorter time.
 	ReplaceAfter time.Duration
 	MaxRequests  int
+	// MemoryLimit is the memory that the process may use in bytes, and DescriptorLimit the
+	// number of descriptors that it may open. 0 means that the limit is detected.
+	MemoryLimit     int64
+	DescriptorLimit int
 	// EntryRecords and AgentRecords are the maximum sizes of the records of an entry and
 	// of an agent, in MiB.
 	EntryRecords int
