--- a/io/httpserver/body.go
+++ b/io/httpserver/body.go
@@ -41,6 +41,7 @@
 	data, err := body.read()
 	if err == nil && req != nil {
 		req.account.Settle()
+		req.read = true
 	}
 	return data, req.check(w, err)
 }
@@ -122,11 +123,20 @@
 	closeAfterResponse(w, req)
 }
 
+// boundRest bounds the time for a body that the handler has not read. A request that is refused
+// without its body is otherwise answered only once the body has arrived.
+func (req *request) boundRest(w http.ResponseWriter) {
+	if !req.refused {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+	}
+}
+
 // closeAfterResponse makes the server close the connection after the response. The deadline
 // keeps net/http from reading up to 256 KiB of a body that may never arrive.
 func closeAfterResponse(w http.ResponseWriter, req *request) {
 	w.Header().Set("Connection", "close")
 	if req != nil {
+		req.refused = true
 		req.conn.linger()
 		_ = http.NewResponseController(w).SetReadDeadline(pastTime)
 	}
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -98,7 +98,7 @@
 	if n > 0 && c.account.Load() == nil {
 		c.owner.headerArrives(c)
 		if !c.chargeHeader(p[:n]) {
-			c.owner.cfg.Counters.Inc(CounterClosed, reasonHeader)
+			c.owner.report(c, reasonHeader)
 			_ = c.Close()
 			return 0, errHeaderMemory
 		}
@@ -165,7 +165,7 @@
 			account.Progress(c.owner.cfg.Clock.Now(), int64(n))
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			c.owner.cfg.Counters.Inc(CounterClosed, reasonWriteTimeout)
+			c.owner.report(c, reasonWriteTimeout)
 		}
 		if err != nil || written == len(p) {
 			return written, err
--- a/io/httpserver/connections.go
+++ b/io/httpserver/connections.go
@@ -34,8 +34,8 @@
 	tickInterval = 500 * time.Millisecond
 )
 
-// ConnectionsConfig configures the connections of a process. All fields but SocketBuffer are
-// required.
+// ConnectionsConfig configures the connections of a process. All fields but SocketBuffer
+// and OnClose are required.
 type ConnectionsConfig struct {
 	// Limit is the maximum number of open connections.
 	Limit int
@@ -45,6 +45,18 @@
 	Budget       *budget.Budget
 	Clock        zinniasill.Clock
 	Counters     zinniasill.Counters
+	// OnClose, if set, is called for each connection that is closed before its client does.
+	OnClose func(closed ClosedConnection)
+}
+
+// ClosedConnection describes a connection that was closed before its client did.
+type ClosedConnection struct {
+	Reason zinniasill.Reason
+	Class  budget.Class
+	Client string
+	// ClientOpen and ClassOpen are the open connections of the client, counted for callers
+	// only, and of the class.
+	ClientOpen, ClassOpen int
 }
 
 // Connections limits the open connections of the servers of a process. Use NewConnections.
@@ -161,10 +173,10 @@
 		c.mu.Unlock()
 		switch {
 		case victim != nil:
-			c.cfg.Counters.Inc(CounterClosed, reasonIdle)
+			c.report(victim, reasonIdle)
 			_ = victim.close()
 		case clientFull:
-			c.cfg.Counters.Inc(CounterClosed, reasonClientLimit)
+			c.report(added, reasonClientLimit)
 			return false
 		default:
 			c.cfg.Budget.RevokeOldest(c.cfg.Clock.Now(), added.class, admitBatch)
@@ -175,6 +187,20 @@
 	}
 }
 
+// report counts and reports a connection that is closed before its client does.
+func (c *Connections) report(on *conn, reason zinniasill.Reason) {
+	c.cfg.Counters.Inc(CounterClosed, reason)
+	if c.cfg.OnClose == nil {
+		return
+	}
+	c.mu.Lock()
+	closed := ClosedConnection{
+		Reason: reason, Class: on.class, Client: on.client, ClientOpen: c.clients[on.client], ClassOpen: c.open[on.class],
+	}
+	c.mu.Unlock()
+	c.cfg.OnClose(closed)
+}
+
 // waitForChange waits until a connection may have become free. It returns false if the
 // listener is closed.
 func waitForChange(changed, closed <-chan struct{}) bool {
--- a/io/httpserver/httpserver.go
+++ b/io/httpserver/httpserver.go
@@ -35,6 +35,9 @@
 	maxHeaderBytes = 16 << 10
 	// headerLineBytes is the memory that one line of a header needs besides its text.
 	headerLineBytes = 128
+	// restTimeout is the time for the rest of a body that the handler has not read. net/http
+	// reads up to 256 KiB of it before it responds, so that the connection can be used again.
+	restTimeout = time.Second
 	// requestBytes is the memory of a request without header and body.
 	requestBytes = 1 << 10
 )
@@ -111,6 +114,10 @@
 	http    *http.Request
 	account *budget.Account
 	conn    *conn
+	// read is set once the body has been read to its end.
+	read bool
+	// refused is set once the connection is to be closed after the response.
+	refused bool
 }
 
 // handler opens an account for each request.
@@ -142,6 +149,7 @@
 	defer c.end()
 	if r.ContentLength == 0 {
 		account.Settle()
+		req.read = true
 	}
 	finished := false
 	defer func() {
@@ -151,6 +159,9 @@
 	}()
 	h.cfg.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, req)))
 	finished = true
+	if !req.read {
+		req.boundRest(w)
+	}
 }
 
 // class returns the class of a request.
--- a/io/httpserver/httpserver_test.go
+++ b/io/httpserver/httpserver_test.go
@@ -64,6 +64,9 @@
 	switch r.URL.Path {
 	case "/panic":
 		panic(http.ErrAbortHandler)
+	case "/not-found":
+		w.WriteHeader(http.StatusNotFound)
+		return
 	case "/wait":
 		f.entered <- struct{}{}
 		<-f.release
@@ -272,6 +275,16 @@
 	f.wantUsed(none)
 }
 
+// TestUnreadBody guards against a request that is refused without its body and is answered
+// only once the body has arrived.
+func TestUnreadBody(t *testing.T) {
+	f := start(t, 1<<20, 100)
+	c := f.dial(1)
+	c.send(strings.Replace(post(1000, 0), "POST /", "POST /not-found", 1)).want(http.StatusNotFound)
+	c.send(strings.Replace(post(1000, 1), "POST /", "POST /not-found", 1)).want(http.StatusNotFound)
+	c.want(0)
+}
+
 // TestPanic guards against a handler that panics and keeps its bytes.
 func TestPanic(t *testing.T) {
 	f := start(t, 1<<20, 100)
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
-	"net/http"
-	"sync"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"zinniasill"
 	"zinniasill/core/budget"
 	"zinniasill/io/caller"
 	"zinniasill/io/httpserver"
@@ -42,8 +37,6 @@
 	// smallest one still takes 16 MB a second over a link of 1 ms.
 	minSocketBuffer = 16 << 10
 	maxSocketBuffer = 256 << 10
-	// crowdLogInterval is the least time between two log lines on refused clients.
-	crowdLogInterval = time.Second
 )
 
 // memoryLimit returns the memory limit of a process in bytes.
@@ -87,15 +80,21 @@
 	return int(min(int64(mebibytes)<<20, memoryLimit(s)/100*recordPercent))
 }
 
-// openLimits creates the budget and the connections of the process.
-func (p *Process) openLimits() {
-	s := p.cfg.Settings
-	p.budget = budget.New(budget.Config{
+// newBudget returns the budget of a process.
+func newBudget(s settings.Settings) *budget.Budget {
+	return budget.New(budget.Config{
 		Limit:          memoryLimit(s) / 100 * budgetPercent,
 		LargestRequest: httpserver.BodyBytes(caller.MaxBodySize),
 	})
+}
+
+// openLimits creates the budget and the connections of the process.
+func (p *Process) openLimits() {
+	s := p.cfg.Settings
+	p.budget = newBudget(s)
 	p.connections = httpserver.NewConnections(httpserver.ConnectionsConfig{
 		Limit: connectionLimit(s), SocketBuffer: socketBuffer(s), Budget: p.budget, Clock: p.clock, Counters: p.metrics,
+		OnClose: p.refusals.connectionClosed,
 	})
 	p.start = append(p.start, func(ctx context.Context) <-chan error { return infallible(p.connections.Start(ctx)) })
 	p.metrics.Gauge("budget_limit_bytes", func() float64 { return float64(p.budget.Limit()) })
@@ -118,44 +117,6 @@
 	cfg.Budget = p.budget
 	cfg.Clock = p.clock
 	cfg.Counters = p.metrics
-	cfg.OnRefuse = p.refusals.record
+	cfg.OnRefuse = p.refusals.requestRefused
 	return cfg
 }
-
-// refusalLog writes a line for requests that are refused for want of memory: a decision line
-// for each if there is a recorder, and otherwise at most one log line in crowdLogInterval.
-type refusalLog struct {
-	recorder zinniasill.Recorder
-	log      logrus.FieldLogger
-	clock    zinniasill.Clock
-	mu       sync.Mutex
-	last     time.Time
-	skipped  int
-}
-
-// record writes the line of a refused request.
-func (l *refusalLog) record(r *http.Request, refusal *budget.ExhaustedError) {
-	if l.recorder != nil {
-		l.recorder.Record("request-refused", slog.String("host", r.Host), slog.String("path", r.URL.Path),
-			slog.String("method", r.Method), slog.String("reason", string(refusal.Reason)),
-			slog.String("class", string(refusal.Class)), slog.String("client", r.RemoteAddr),
-			slog.Int64("body-bytes", r.ContentLength), slog.Int64("held-bytes", refusal.Held),
-			slog.Int64("wanted-bytes", refusal.Wanted), slog.Int64("class-bytes", refusal.Used),
-			slog.Int64("client-bytes", refusal.ClientHeld))
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.clock.Now()
-	if now.Sub(l.last) < crowdLogInterval {
-		l.skipped++
-		return
-	}
-	l.log.WithFields(logrus.Fields{
-		"path": r.URL.Path, "method": r.Method, "reason": refusal.Reason, "class": refusal.Class,
-		"client": r.RemoteAddr, "body-bytes": r.ContentLength, "held-bytes": refusal.Held,
-		"wanted-bytes": refusal.Wanted, "class-bytes": refusal.Used, "client-bytes": refusal.ClientHeld,
-		"more": l.skipped,
-	}).Warn("request refused for want of memory")
-	l.last, l.skipped = now, 0
-}
