--- a/cmd/zinniasill-platform/main.go
+++ b/cmd/zinniasill-platform/main.go
@@ -25,11 +25,6 @@
 // version is set at build time.
 var version = "dev"
 
-// memoryLimitPercent is the soft memory limit of the Go runtime in percent of the memory
-// limit of the process. The rest covers kernel stacks and received data that is not read
-// yet.
-const memoryLimitPercent = 70
-
 func main() {
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "zinniasill-platform:", err)
@@ -63,8 +58,8 @@
 func runRole(s platform.Settings, role settings.Role) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(s.MemoryBytes / 100 * memoryLimitPercent)
+	if s.Process.MemoryLimit > 0 {
+		debug.SetMemoryLimit(node.RuntimeMemoryLimit(s.Process.MemoryLimit))
 	}
 	log := logrus.New()
 	log.SetOutput(os.Stdout)
--- a/cmd/zinniasill/main.go
+++ b/cmd/zinniasill/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -92,6 +93,9 @@
 	if role == settings.RoleAgent {
 		limitProcessors()
 	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(node.RuntimeMemoryLimit(s.MemoryLimit))
+	}
 	process, err := node.New(node.Config{Settings: s, Role: role, Log: newLogger(s)})
 	if err != nil {
 		return err
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -17,9 +17,9 @@
 
 const (
 	// writeTimeout is the maximum time for a client to take writePart bytes of a response,
-	// 6.4 KiB a second.
+	// 1.6 KiB a second. A part is also the least that counts as progress.
 	writeTimeout = 10 * time.Second
-	writePart    = 64 << 10
+	writePart    = 16 << 10
 	// freeHeaderBytes is the memory of a header that is part of that of its connection. Only
 	// a header that needs more is charged while it arrives.
 	freeHeaderBytes = 4 << 10
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -12,8 +12,8 @@
 	"zinniasill/io/settings"
 )
 
-// Parts of the memory limit of a process in percent. The Go runtime may use 70 percent; what
-// is not listed is for the state of the roles and for garbage.
+// Parts of the memory limit of a process in percent. The Go runtime may use
+// runtimePercent; what is not listed is for the state of the roles and for garbage.
 const (
 	budgetPercent     = 30
 	connectionPercent = 30
@@ -39,6 +39,17 @@
 	maxSocketBuffer = 256 << 10
 )
 
+// runtimePercent is the soft memory limit of the Go runtime in percent of the memory limit of
+// the process. The rest covers the program, kernel stacks and received data that is not read
+// yet.
+const runtimePercent = 70
+
+// RuntimeMemoryLimit returns the soft memory limit of the Go runtime for the memory limit of a
+// process, both in bytes.
+func RuntimeMemoryLimit(limit int64) int64 {
+	return limit / 100 * runtimePercent
+}
+
 // memoryLimit returns the memory limit of a process in bytes.
 func memoryLimit(s settings.Settings) int64 {
 	if s.MemoryLimit > 0 {
