--- a/io/httpserver/jsonsize.go
+++ b/io/httpserver/jsonsize.go
@@ -1,5 +1,7 @@
 package httpserver
 
+import "bytes"
+
 // maxJSONDepth is the nesting depth from which encoding/json refuses a value.
 const maxJSONDepth = 10_000
 
@@ -26,9 +28,12 @@
 // JSONSize returns the size of the elements of data, and of its strings, once as they are and
 // once without escapes.
 func JSONSize(data []byte, elementBytes int64) int64 {
-	return 2*int64(len(data)) + ShapeOf(data).Size(elementBytes)
+	return ShapeOf(data).Size(elementBytes) + 2*int64(len(data))
 }
 
+// structural marks the bytes outside strings that ShapeOf looks at.
+var structural = [256]bool{'"': true, ':': true, ',': true, '[': true, ']': true, '{': true, '}': true}
+
 // ShapeOf returns the shape of a JSON text, which need not be valid.
 func ShapeOf(data []byte) JSONShape {
 	var shape JSONShape
@@ -36,7 +41,11 @@
 	var open []byte
 	arrays := 0
 	for i := 0; i < len(data); i++ {
-		switch c := data[i]; c {
+		c := data[i]
+		if !structural[c] {
+			continue
+		}
+		switch c {
 		case '"':
 			i = endOfString(data, i+1)
 		case ':':
@@ -79,13 +88,16 @@
 // endOfString returns the index of the quotation mark that ends the string whose content
 // begins at start, or the length of data.
 func endOfString(data []byte, start int) int {
-	for i := start; i < len(data); i++ {
-		switch data[i] {
-		case '\\':
-			i++
-		case '"':
-			return i
+	for start < len(data) {
+		end := bytes.IndexByte(data[start:], '"')
+		if end < 0 {
+			break
+		}
+		escape := bytes.IndexByte(data[start:start+end], '\\')
+		if escape < 0 {
+			return start + end
 		}
+		start += escape + 2
 	}
 	return len(data)
 }
