Wait for idle connections in the test of their order

TestIdleConnections failed once under the race detector on a busy machine (go test -race -count=3 ./io/httpserver): the server notes that a connection is idle only after the client has the response, so that another one was the longest idle. The test waits for it now, and the number is a gauge.

--- a/io/httpserver/connections.go
+++ b/io/httpserver/connections.go
@@ -106,6 +106,13 @@
 	return c.open[class]
 }
 
+// Idle returns the number of open connections without a request in progress.
+func (c *Connections) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle.Len()
+}
+
 // limit returns the maximum number of connections of a class.
 func (c *Connections) limit(class budget.Class) int {
 	own := max(c.cfg.Limit/ownPart, minOwn)
--- a/io/httpserver/httpserver_test.go
+++ b/io/httpserver/httpserver_test.go
@@ -308,14 +308,19 @@
 func TestIdleConnections(t *testing.T) {
 	f := start(t, 1<<20, 24) // 12 for callers, 10 for one address
 	var idle []*client
-	for range 10 {
+	// The server notes that a connection is idle after the client has the response.
+	wantIdle := func(count int) {
+		f.eventually("idle connections", func() bool { return f.connections.Idle() == count })
+	}
+	for i := range 10 {
 		c := f.dial(1).send(get)
 		c.want(http.StatusOK)
 		idle = append(idle, c)
+		wantIdle(i + 1)
 	}
 	// The first becomes the one that was idle last.
 	idle[0].send(get).want(http.StatusOK)
-	f.eventually("idle connection", func() bool { return f.connections.Open(budget.Callers) == 10 })
+	wantIdle(10)
 	f.dial(1).send(get).want(http.StatusOK)
 	idle[1].want(0)
 	idle[0].send(get).want(http.StatusOK)
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -110,6 +110,7 @@
 	p.start = append(p.start, func(ctx context.Context) <-chan error { return infallible(p.connections.Start(ctx)) })
 	p.metrics.Gauge("budget_limit_bytes", func() float64 { return float64(p.budget.Limit()) })
 	p.metrics.Gauge("http_connection_limit", func() float64 { return float64(connectionLimit(s)) })
+	p.metrics.Gauge("http_connections_idle", func() float64 { return float64(p.connections.Idle()) })
 	p.metrics.Gauge("http_oldest_body_seconds", func() float64 { return p.budget.OldestBody(p.clock.Now()).Seconds() })
 	for _, class := range budget.Classes() {
 		label := `{class="` + string(class) + `"}`
