Test processes with crowds of clients on loopback

Change: package internal/crowdtest starts the product (all-in-one, and one process of each role) and the platform's roles with lowered limits and connects a crowd: bodies by Content-Length and in chunks that stop just short of their end, jobs and configurations that decode to many times their size, slow readers, idle connections, unfinished announcements, and strangers on the port of the links. Each test checks that the processes are alive, that the peak of resident memory is at most the memory limit, that at least 8 descriptors stay free, and that an ordinary request is answered while the crowd is connected. The members come from 8 addresses and the ordinary caller from another one.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,9 @@
 	bin/demo
 
 test:
-	$(GO) test -count=1 $(SKIP) $$($(GO) list ./... | grep -v /internal/proctest)
+	$(GO) test -count=1 $(SKIP) $$($(GO) list ./... | grep -v -e /internal/proctest -e /internal/crowdtest)
 	$(GO) test -count=1 $(SKIP) ./internal/proctest
+	$(GO) test -count=1 $(SKIP) ./internal/crowdtest
 
 race:
 	$(GO) test -count=1 -race $(SKIP) ./io/... ./client/...
