Add settings for the memory and descriptor limits of a process

Without them the limits are detected: the smaller of the machine's memory and the limits of the control groups of the process, of both versions and with their parents, and the descriptor limit of the process.

--- a/cmd/zinniasill-platform/main.go
+++ b/cmd/zinniasill-platform/main.go
@@ -58,9 +58,8 @@
 func runRole(s platform.Settings, role settings.Role) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if s.Process.MemoryLimit > 0 {
-		debug.SetMemoryLimit(node.RuntimeMemoryLimit(s.Process.MemoryLimit))
-	}
+	s.Process.DetectLimits(os.DirFS("/"))
+	debug.SetMemoryLimit(s.Process.SoftMemoryLimit())
 	log := logrus.New()
 	log.SetOutput(os.Stdout)
 	log.SetFormatter(&logrus.JSONFormatter{})
--- a/cmd/zinniasill/main.go
+++ b/cmd/zinniasill/main.go
@@ -75,6 +75,7 @@
 		clause = check.Command(string(role), "Check the settings of this role.")
 		settings.Register(clause, checked, role)
 		commands[clause.FullCommand()] = func(context.Context) error {
+			checked.DetectLimits(os.DirFS("/"))
 			if findings := checked.Check(role); len(findings) > 0 {
 				return findings
 			}
@@ -87,9 +88,13 @@
 // runRole checks the settings and runs a process of the role until ctx is done or the
 // process fails.
 func runRole(ctx context.Context, s settings.Settings, role settings.Role) error {
+	s.DetectLimits(os.DirFS("/"))
 	if findings := s.Check(role); len(findings) > 0 {
 		return findings
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(s.SoftMemoryLimit())
+	}
 	if role == settings.RoleAgent {
 		limitProcessors()
 	}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -79,7 +79,7 @@
 	ReplaceAfter time.Duration
 	MaxRequests  int
 	// MemoryLimit is the memory that the process may use in bytes, and DescriptorLimit the
-	// number of descriptors that it may open. 0 means that the limit is detected.
+	// number of descriptors that it may open. 0 means unknown; see DetectLimits.
 	MemoryLimit     int64
 	DescriptorLimit int
 	// EntryRecords and AgentRecords are the maximum sizes of the records of an entry and
@@ -137,6 +137,10 @@
 		flag("max-requests", "Maximum number of concurrent requests from callers.").Default("4096").IntVar(&s.MaxRequests)
 	}
 	registerRecords(flag, s, role)
+	flag("memory-limit", "Memory that the process may use, with a unit such as 184MiB; the smaller of the machine's memory and the limit of the control group by default.").
+		SetValue((*size)(&s.MemoryLimit))
+	flag("descriptor-limit", "Number of descriptors that the process may open; the limit of the process by default.").
+		IntVar(&s.DescriptorLimit)
 	if role == RoleControl {
 		registerCluster(flag, s)
 	}
@@ -243,6 +247,7 @@
 	if s.LogFormat != "text" && s.LogFormat != "json" {
 		found.add("log-format", "%q is neither text nor json", s.LogFormat)
 	}
+	s.checkLimits(&found)
 	s.checkTLS(&found)
 	return found
 }
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -46,7 +46,11 @@
 		"endpoint not loopback": {role: settings.RoleAgent, change: func(s *settings.Settings) {
 			s.Insecure, s.TLSCert, s.TLSKey, s.TLSCA, s.HTTP = false, "c", "k", "a", "10.0.0.1:1"
 		}, want: []string{"--http: 10.0.0.1:1 is not a loopback"}},
-		"no data folder": {role: settings.RoleControl, change: func(s *settings.Settings) { s.DataFolder = "" }, want: []string{"--data"}},
+		"no memory":        {role: settings.RoleAgent, change: func(s *settings.Settings) { s.MemoryLimit = 1 << 20 }, want: []string{"--memory-limit"}},
+		"few descriptors":  {role: settings.RoleEntry, change: func(s *settings.Settings) { s.DescriptorLimit = 10 }, want: []string{"--descriptor-limit"}},
+		"many descriptors": {role: settings.RoleEntry, change: func(s *settings.Settings) { s.DescriptorLimit = 1 << 30 }, want: []string{"--descriptor-limit"}},
+		"limits":           {role: settings.RoleEntry, change: func(s *settings.Settings) { s.MemoryLimit, s.DescriptorLimit = 184<<20, 64 }},
+		"no data folder":   {role: settings.RoleControl, change: func(s *settings.Settings) { s.DataFolder = "" }, want: []string{"--data"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
