Bound accepted links in number and charge them to the memory budget

Cause: up to 256 connections without a hello stayed open until their timeout and could take all descriptors of a process; beyond that number new connections were refused, also those of peers.

Change: at the limit of connections without a hello, and of accepted links, the oldest connection of the address with most of them is closed, so that strangers give way to peers. The limits follow from the descriptor limit: a quarter of the descriptors kept for own files and links, at most 256 as before, and half of all. Each accepted connection has an account of class peers in the budget, which is charged with the incomplete message beyond 16 KiB. A connection without a hello is refused when that does not fit; a link waits, without reading, until the monitor closes it as unresponsive. A delivered message returns its bytes. What arrived of the next message meanwhile is not charged, and the buffers that drpc keeps for later messages of a link are not either.

--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -9,6 +9,7 @@
 	"zinniasill/core/budget"
 	"zinniasill/io/caller"
 	"zinniasill/io/httpserver"
+	"zinniasill/io/peer"
 	"zinniasill/io/settings"
 )
 
@@ -33,6 +34,10 @@
 	ownDescriptorPart = 8
 	minOwnDescriptors = 32
 	minConnections    = 16
+	// pendingHelloPart is the part of those descriptors for connections without a hello, one
+	// in pendingHelloPart, and inboundLinkPart that of all descriptors for accepted links.
+	pendingHelloPart = 4
+	inboundLinkPart  = 2
 	// minSocketBuffer and maxSocketBuffer bound the size of a buffer of a connection. The
 	// smallest one still takes 16 MB a second over a link of 1 ms.
 	minSocketBuffer = 16 << 10
@@ -79,6 +84,19 @@
 	return max(min(descriptors-own, int(byMemory)), minConnections)
 }
 
+// linkLimits returns the numbers of accepted connections of a transport, of those without a
+// hello and of all. A control replica has one accepted link for each node.
+func linkLimits(s settings.Settings) (pending, all int) {
+	descriptors := descriptorLimit(s)
+	own := max(descriptors/ownDescriptorPart, minOwnDescriptors)
+	transports := 1
+	if s.WithEntry {
+		transports = 2
+	}
+	pending = min(own/pendingHelloPart, peer.DefaultMaxPending) / transports
+	return pending, descriptors / inboundLinkPart / transports
+}
+
 // socketBuffer returns the size of a buffer of a connection.
 func socketBuffer(s settings.Settings) int {
 	each := memoryLimit(s) / 100 * socketPercent / int64(2*connectionLimit(s))
--- a/io/node/process.go
+++ b/io/node/process.go
@@ -254,6 +254,8 @@
 	cfg.Clock = p.clock
 	cfg.Counters = p.metrics
 	cfg.Seed = uint64(NewIncarnation())
+	cfg.Budget = p.budget
+	cfg.MaxPending, cfg.MaxInbound = linkLimits(p.cfg.Settings)
 	if p.identity != nil {
 		cfg.Security = p.identity
 	}
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"container/list"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,10 +46,25 @@
 	// probedAt is when a probe was requested, in nanoseconds since opened. It is 0 if
 	// something has been read since.
 	probedAt atomic.Int64
+	// account charges the received bytes of an accepted connection. It is nil on those that
+	// this process opens, which only receive pongs.
+	account *linkAccount
+	// element is the place in the inboundSet, which guards it.
+	element *list.Element
+	// evicted is set if the connection is closed because of a limit.
+	evicted   atomic.Bool
+	closeOnce sync.Once
+	closed    chan struct{}
 }
 
 func newConn(raw net.Conn, clock zinniasill.Clock, counts *traffic) *conn {
-	return &conn{Conn: raw, clock: clock, opened: clock.Now(), traffic: counts}
+	return &conn{Conn: raw, clock: clock, opened: clock.Now(), traffic: counts, closed: make(chan struct{})}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 // elapsed returns the nanoseconds since the connection was opened. It is at least 1,
@@ -67,9 +84,38 @@
 	if !c.helloReceived.Load() && c.helloBytes.Add(int64(n)) > maxHelloBytes {
 		return 0, &ProtocolError{Reason: reasonNoHello, Message: "connection exceeds the byte limit before the hello"}
 	}
+	if charged := c.charge(n); charged != nil {
+		return 0, charged
+	}
 	return n, err
 }
 
+// charge charges n received bytes. A connection without a hello is refused if the memory for
+// them is exhausted. A link waits, and is closed as unresponsive if that takes too long.
+func (c *conn) charge(n int) error {
+	if c.account == nil || n <= 0 {
+		return nil
+	}
+	err := c.account.received(n)
+	if err == nil {
+		return nil
+	}
+	if !c.helloReceived.Load() {
+		return &ProtocolError{Reason: reasonMemory, Message: err.Error()}
+	}
+	ticks, stop := c.clock.NewTicker(grantRetryDelay)
+	defer stop()
+	for err != nil {
+		select {
+		case <-c.closed:
+			return net.ErrClosed
+		case <-ticks:
+			err = c.account.received(0)
+		}
+	}
+	return nil
+}
+
 // Write implements io.Writer. It writes chunks of writeChunk bytes.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -29,6 +29,7 @@
 	reasonTLS         zinniasill.Reason = "tls"
 	reasonIdentity    zinniasill.Reason = "identity"
 	reasonTooMany     zinniasill.Reason = "too-many"
+	reasonMemory      zinniasill.Reason = "memory"
 )
 
 // Reasons for closing an established link, the labels of the counter peer_closed_total.
--- a/io/peer/inbound.go
+++ b/io/peer/inbound.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// maxPendingHellos is the maximum number of accepted connections whose hello has not
-	// been received.
-	maxPendingHellos = 256
 	// acceptRetryDelay is the wait after a temporary error of the listener, such as a
 	// lack of file descriptors.
 	acceptRetryDelay = 100 * time.Millisecond
@@ -50,7 +47,6 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = t.cfg.Listener.Close() })
 	defer stop()
-	pendingHellos := make(chan struct{}, maxPendingHellos)
 	for {
 		raw, err := t.cfg.Listener.Accept()
 		switch {
@@ -66,14 +62,30 @@
 			t.sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		select {
-		case pendingHellos <- struct{}{}:
-			t.workers.Go(func() { t.serve(ctx, raw, func() { <-pendingHellos }) })
-		default:
-			t.cfg.Counters.Inc("peer_refused_total", reasonTooMany)
-			_ = raw.Close()
-		}
+		t.admit(ctx, raw)
+	}
+}
+
+// admit serves an accepted connection, for which it closes another one at a limit.
+func (t *Transport) admit(ctx context.Context, raw net.Conn) {
+	c := newConn(raw, t.cfg.Clock, &t.traffic)
+	account, err := openLinkAccount(t, hostOf(c), func() { _ = c.Close() })
+	if err != nil {
+		t.cfg.Counters.Inc("peer_refused_total", reasonMemory)
+		_ = c.Close()
+		return
 	}
+	c.account = account
+	if victim := t.inbound.add(c); victim != nil {
+		t.cfg.Counters.Inc("peer_refused_total", reasonTooMany)
+		victim.evicted.Store(true)
+		_ = victim.Close()
+	}
+	t.workers.Go(func() {
+		defer account.close()
+		defer t.inbound.remove(c)
+		t.serve(ctx, c)
+	})
 }
 
 // sleep waits for a duration or until ctx ends.
@@ -86,26 +98,22 @@
 	}
 }
 
-// serve receives on one accepted connection until it ends. It calls handshakeDone once,
-// when the handshake has succeeded or failed.
-func (t *Transport) serve(ctx context.Context, raw net.Conn, handshakeDone func()) {
-	c := newConn(raw, t.cfg.Clock, &t.traffic)
+// serve receives on one accepted connection until it ends.
+func (t *Transport) serve(ctx context.Context, c *conn) {
 	if !t.track(ctx, c) {
-		handshakeDone()
 		return
 	}
 	defer t.untrack(c)
 	defer func() { _ = c.Close() }()
 	in := &inbound{transport: t, conn: c}
 	err := in.handshake(ctx)
-	handshakeDone()
 	if err == nil {
 		err = in.receive()
 	}
 	if in.stream != nil && isProtocolError(err) {
 		_ = in.stream.SendError(err)
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !c.evicted.Load() {
 		t.countRefusal(c, err)
 	}
 	if in.manager != nil {
@@ -201,6 +209,8 @@
 	}
 	t.recordHello(in.hello)
 	i.conn.helloReceived.Store(true)
+	i.conn.account.established()
+	t.inbound.establish(i.conn)
 	reply := frame{kind: frameHello, hello: hello{
 		Version: message.Version,
 		From:    self,
@@ -219,6 +229,7 @@
 		if err := i.stream.MsgRecv(&in, t.encoding); err != nil {
 			return err
 		}
+		i.conn.account.complete()
 		switch in.kind {
 		case frameEnvelopes:
 		case framePing:
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"zinniasill"
+	"zinniasill/core/budget"
 	"zinniasill/core/message"
 )
 
@@ -21,6 +22,7 @@
 	DefaultUnresponsiveTimeout = 1500 * time.Millisecond
 	DefaultUnreachableTimeout  = 10 * time.Second
 	DefaultProbeTimeout        = 250 * time.Millisecond
+	DefaultMaxPending          = 256
 )
 
 // LinkState is the state of a link that this process opens.
@@ -90,6 +92,13 @@
 	// UnreachableTimeout is the time without a link to a peer after which the queued
 	// envelopes for it are dropped, DefaultUnreachableTimeout if 0.
 	UnreachableTimeout time.Duration
+	// Budget, if set, is charged with the accepted connections and the messages that they
+	// have received in part.
+	Budget *budget.Budget
+	// MaxPending is the maximum number of accepted connections whose hello has not been
+	// received, DefaultMaxPending if 0. MaxInbound is that of all accepted connections, 0 for
+	// no limit. At a limit, a connection of the address with most of them is closed.
+	MaxPending, MaxInbound int
 }
 
 // Stats has the traffic since the start: envelopes sent and received, frames of
@@ -117,6 +126,8 @@
 
 	connMu sync.Mutex
 	conns  map[*conn]struct{}
+	// inbound holds the accepted connections.
+	inbound *inboundSet
 
 	sent, received, frames atomic.Uint64
 	traffic                traffic
@@ -153,6 +164,7 @@
 		peers:      map[zinniasill.NodeID]*outbound{},
 		advertised: map[zinniasill.NodeID]string{},
 		conns:      map[*conn]struct{}{},
+		inbound:    newInboundSet(cfg.MaxPending, cfg.MaxInbound),
 	}, nil
 }
 
@@ -173,6 +185,9 @@
 	if cfg.UnreachableTimeout == 0 {
 		cfg.UnreachableTimeout = DefaultUnreachableTimeout
 	}
+	if cfg.MaxPending == 0 {
+		cfg.MaxPending = DefaultMaxPending
+	}
 	if cfg.Counters == nil {
 		cfg.Counters = noCounters{}
 	}
