Serve the largest job and configuration within a small memory limit

With 128 MiB, (1) the budget of 30% had no room for the largest legal body; (2) the answer of the largest job, 19.4 MB with its JSON text, was refused beside its own body of 11.1 MB, since both exceed the bound of a client, also in larger processes; (3) socket buffers of 16 KiB hold less than one segment of a connection within the machine, so that a body arrived at about 256 KiB a second and later attempts of the client found the memory taken. Config.Get unpacked the configuration before it asked for memory: 48 readers used 190 MiB with a limit of 80.

Change: the budget of a process with callers is raised up to 40% of the memory limit until a largest body fits; the charge for a body is returned when its job has ended; buffers of connections within the machine have at least 128 KiB; Control.Document asks for the memory of the unpacked document, whose size is in its last field, before it unpacks it, and unpacks it without growing a buffer.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -146,6 +146,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), request.wait)
 	defer cancel()
 	answer, err := h.cfg.Jobs.Submit(ctx, request.submission)
+	// The body is no longer needed; the largest answer may not fit beside it.
+	httpserver.Keep(r, requestBytes)
 	key := request.submission.Key.Client
 	switch {
 	case err == nil:
--- a/io/httpserver/connections.go
+++ b/io/httpserver/connections.go
@@ -30,6 +30,10 @@
 	// admitBatch the number of stalled bodies that it ends at a time.
 	admitCheck = 50 * time.Millisecond
 	admitBatch = 8
+	// localSocketBuffer is the least size in bytes of a buffer of a connection within this
+	// machine. Its segments have up to 64 KiB, and with less than two of them in a buffer a
+	// transfer stops for a delayed acknowledgement after each.
+	localSocketBuffer = 128 << 10
 	// tickInterval is the time between two ticks of the budget.
 	tickInterval = 500 * time.Millisecond
 )
@@ -145,8 +149,12 @@
 			return nil, err
 		}
 		if tcp, ok := source.(*net.TCPConn); ok && l.owner.cfg.SocketBuffer > 0 {
-			_ = tcp.SetReadBuffer(l.owner.cfg.SocketBuffer)
-			_ = tcp.SetWriteBuffer(l.owner.cfg.SocketBuffer)
+			size := l.owner.cfg.SocketBuffer
+			if onSameMachine(source) {
+				size = max(size, localSocketBuffer)
+			}
+			_ = tcp.SetReadBuffer(size)
+			_ = tcp.SetWriteBuffer(size)
 		}
 		c := &conn{Conn: source, owner: l.owner, class: l.class, client: clientAddress(source.RemoteAddr().String())}
 		if l.owner.admit(c, l.closed) {
@@ -156,6 +164,16 @@
 	}
 }
 
+// onSameMachine reports whether both ends of a connection are on this machine.
+func onSameMachine(c net.Conn) bool {
+	remote, ok := c.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return false
+	}
+	local, ok := c.LocalAddr().(*net.TCPAddr)
+	return ok && (remote.IP.IsLoopback() || remote.IP.Equal(local.IP))
+}
+
 // Close implements net.Listener.
 func (l *listener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
--- a/io/node/document.go
+++ b/io/node/document.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"strconv"
@@ -25,6 +26,9 @@
 // It is stored compressed, in at most control.MaxDocumentSize bytes.
 const MaxDocumentSize = 4 << 20
 
+// gzipSizeBytes is the size of the last field of compressed content, the size of the content.
+const gzipSizeBytes = 4
+
 // gzipMagic begins compressed content. Documents are texts, which cannot begin with it.
 var gzipMagic = []byte{0x1f, 0x8b}
 
@@ -63,6 +67,15 @@
 	return packed.Bytes(), nil
 }
 
+// unpackedSize returns the memory in bytes that unpacking a stored document needs.
+func unpackedSize(stored []byte) int64 {
+	if !bytes.HasPrefix(stored, gzipMagic) || len(stored) < gzipSizeBytes {
+		return 0
+	}
+	size := int64(binary.LittleEndian.Uint32(stored[len(stored)-gzipSizeBytes:]))
+	return min(size, MaxDocumentSize) + bytes.MinRead
+}
+
 // unpackDocument returns the content of a stored document. Documents that were stored by
 // earlier versions are not compressed.
 func unpackDocument(stored []byte) ([]byte, error) {
@@ -73,23 +86,27 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "decompress a configuration document")
 	}
-	content, err := io.ReadAll(io.LimitReader(r, MaxDocumentSize+1))
-	if err != nil {
+	content := bytes.NewBuffer(make([]byte, 0, unpackedSize(stored)))
+	if _, err := content.ReadFrom(io.LimitReader(r, MaxDocumentSize+1)); err != nil {
 		return nil, eris.Wrap(err, "decompress a configuration document")
 	}
-	if len(content) > MaxDocumentSize {
+	if content.Len() > MaxDocumentSize {
 		return nil, eris.Errorf("a configuration document exceeds %d bytes", MaxDocumentSize)
 	}
-	return content, nil
+	return content.Bytes(), nil
 }
 
-// Document returns the latest document. Its version is 0 if there is none.
-func (c *Control) Document(ctx context.Context) (catalog.Document, error) {
+// Document returns the latest document. Its version is 0 if there is none. It calls reserve
+// with the memory in bytes that it needs, and returns its error.
+func (c *Control) Document(ctx context.Context, reserve func(bytes int64) error) (catalog.Document, error) {
 	cat, err := c.configuration().Catalog(ctx)
 	if err != nil {
 		return catalog.Document{}, err
 	}
 	doc := cat.Document
+	if err := reserve(unpackedSize(doc.Content)); err != nil {
+		return catalog.Document{}, err
+	}
 	doc.Content, err = unpackDocument(doc.Content)
 	return doc, err
 }
--- a/io/node/document_test.go
+++ b/io/node/document_test.go
@@ -66,3 +66,22 @@
 		})
 	}
 }
+
+// TestUnpackedSize guards against the memory of a document that is asked for wrongly before it
+// is unpacked.
+func TestUnpackedSize(t *testing.T) {
+	content := bytes.Repeat([]byte("{} "), 100_000)
+	packed, err := packDocument(content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size := unpackedSize(packed); size < int64(len(content)) || size > int64(len(content))+bytes.MinRead {
+		t.Errorf("%d bytes for a document of %d", size, len(content))
+	}
+	if size := unpackedSize(content); size != 0 {
+		t.Errorf("%d bytes for a document that is stored as it is", size)
+	}
+	if size := unpackedSize(gzipMagic); size != 0 {
+		t.Errorf("%d bytes for a damaged document", size)
+	}
+}
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -17,6 +17,7 @@
 // runtimePercent; what is not listed is for the state of the roles and for garbage.
 const (
 	budgetPercent     = 30
+	maxBudgetPercent  = 40
 	connectionPercent = 30
 	// recordPercent bounds the records of one role, whatever its own setting allows.
 	recordPercent = 25
@@ -24,6 +25,10 @@
 	socketPercent = 10
 )
 
+// callersPercent is the part of the budget that a single large job can use: all but the
+// reserve and what other classes are guaranteed.
+const callersPercent = 47
+
 const (
 	// defaultMemoryLimit applies if the limit is neither set nor detected.
 	defaultMemoryLimit = 1 << 30
@@ -109,12 +114,15 @@
 	return int(min(int64(mebibytes)<<20, memoryLimit(s)/100*recordPercent))
 }
 
-// newBudget returns the budget of a process.
+// newBudget returns the budget of a process. That of a process with callers is large enough
+// for a job of the maximum size, up to maxBudgetPercent of the memory limit.
 func newBudget(s settings.Settings) *budget.Budget {
-	return budget.New(budget.Config{
-		Limit:          memoryLimit(s) / 100 * budgetPercent,
-		LargestRequest: httpserver.BodyBytes(caller.MaxBodySize),
-	})
+	largest := httpserver.BodyBytes(caller.MaxBodySize)
+	limit := memoryLimit(s) / 100 * budgetPercent
+	if s.MaxRequests > 0 {
+		limit = max(limit, min(largest/callersPercent*100, memoryLimit(s)/100*maxBudgetPercent))
+	}
+	return budget.New(budget.Config{Limit: limit, LargestRequest: largest})
 }
 
 // openLimits creates the budget and the connections of the process.
--- a/io/node/limits_test.go
+++ b/io/node/limits_test.go
@@ -31,6 +31,11 @@
 			budget.Callers,
 			httpserver.BodyBytes(256<<10) * 2, 1200, 20 << 10,
 		},
+		"largest job in little memory": {
+			settings.Settings{MemoryLimit: 128 << 20, DescriptorLimit: 3900, MaxRequests: 4096},
+			budget.Callers,
+			httpserver.BodyBytes(caller.MaxBodySize), 600, 20 << 10,
+		},
 		"agent VM": {
 			settings.Settings{MemoryLimit: 152 << 20, DescriptorLimit: 3900},
 			budget.Endpoint,
