Keep one derivation of the Go runtime's memory limit

Cause: the settings and io/node each derived the soft memory limit, and the second one took effect. Change: node.RuntimeMemoryLimit is the only one, in both programs.

--- a/cmd/zinniasill-platform/main.go
+++ b/cmd/zinniasill-platform/main.go
@@ -59,7 +59,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	s.Process.DetectLimits(os.DirFS("/"))
-	debug.SetMemoryLimit(s.Process.SoftMemoryLimit())
+	if s.Process.MemoryLimit > 0 {
+		debug.SetMemoryLimit(node.RuntimeMemoryLimit(s.Process.MemoryLimit))
+	}
 	log := logrus.New()
 	log.SetOutput(os.Stdout)
 	log.SetFormatter(&logrus.JSONFormatter{})
--- a/cmd/zinniasill/main.go
+++ b/cmd/zinniasill/main.go
@@ -92,13 +92,10 @@
 	if findings := s.Check(role); len(findings) > 0 {
 		return findings
 	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(s.SoftMemoryLimit())
-	}
 	if role == settings.RoleAgent {
 		limitProcessors()
 	}
-	if s.MemoryLimit > 0 {
+	if s.MemoryLimit > 0 && os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(node.RuntimeMemoryLimit(s.MemoryLimit))
 	}
 	process, err := node.New(node.Config{Settings: s, Role: role, Log: newLogger(s)})
--- a/io/settings/limits.go
+++ b/io/settings/limits.go
@@ -21,9 +21,6 @@
 	defaultDescriptorLimit = 1024
 	// maxDescriptorLimit replaces an unlimited number.
 	maxDescriptorLimit = 1 << 20
-	// softLimitPercent is the soft memory limit of the Go runtime in percent of the memory
-	// limit. The rest covers kernel stacks and received data that is not read yet.
-	softLimitPercent = 70
 )
 
 // DetectLimits sets the limits that have no value: the memory limit to the smaller of the
@@ -38,15 +35,6 @@
 	}
 }
 
-// SoftMemoryLimit returns the soft memory limit of the Go runtime in bytes, or
-// math.MaxInt64, which is none, if there is no memory limit.
-func (s *Settings) SoftMemoryLimit() int64 {
-	if s.MemoryLimit == 0 {
-		return math.MaxInt64
-	}
-	return s.MemoryLimit / 100 * softLimitPercent
-}
-
 func (s *Settings) checkLimits(found *FindingErrors) {
 	if s.MemoryLimit != 0 && s.MemoryLimit < minMemoryLimit {
 		found.add("memory-limit", "%d bytes are fewer than %d MiB", s.MemoryLimit, minMemoryLimit>>20)
--- a/io/settings/limits_test.go
+++ b/io/settings/limits_test.go
@@ -1,7 +1,6 @@
 package settings_test
 
 import (
-	"math"
 	"strings"
 	"testing"
 	"testing/fstest"
@@ -60,18 +59,6 @@
 	}
 }
 
-// TestSoftMemoryLimit guards against a soft limit above the memory limit, and against one of
-// 0, with which the runtime does nothing but collect garbage.
-func TestSoftMemoryLimit(t *testing.T) {
-	limited := settings.Settings{MemoryLimit: 184 << 20}
-	if soft := limited.SoftMemoryLimit(); soft < 100<<20 || soft > 150<<20 {
-		t.Errorf("soft limit of %d bytes for %d", soft, limited.MemoryLimit)
-	}
-	if soft := (&settings.Settings{}).SoftMemoryLimit(); soft != math.MaxInt64 {
-		t.Errorf("soft limit of %d bytes without a limit", soft)
-	}
-}
-
 // TestMemoryLimitFlag guards against sizes whose unit is ignored or that overflow, and against
 // a role without the flags.
 func TestMemoryLimitFlag(t *testing.T) {
