Check profile and team files offline with config check

An error in a profile file was found only when the file was sent, and limits that contradict each other were not found at all.

config check reads profile and team files, validates them with the functions that control applies, and reports all findings with a stable code, file, line, field and what is accepted. The decision is in core/configcheck, the decoding in io/operator. A team's validation becomes a function of its own, which Command.Validate calls. A profile file with a second document is refused, since only the first one would be sent. A property test sends generated objects to the operators' interface and compares its findings with those of the check; it fails when the validation of teams is left out of the check.

--- /dev/null
+++ b/cmd/zinniasill/config.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"zinniasill/core/configcheck"
+	"zinniasill/io/operator"
+)
+
+// configCommand is the name of the group of commands about configuration files.
+const configCommand = "config"
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Values of the flag --format.
+const (
+	formatText = "text"
+	formatJSON = "json"
+)
+
+// usageError is an error in the arguments of a command that exits with exitUsage for it.
+type usageError struct{ err error }
+
+// Error implements error.
+func (e *usageError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.err }
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+// refusedError reports that a configuration check has failed.
+type refusedError struct{ errors, warnings int }
+
+// Error implements error.
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("the configuration check found %d errors and %d warnings", e.errors, e.warnings)
+}
+
+// configCheck holds the arguments of the command config check.
+type configCheck struct {
+	files  []string
+	kind   string
+	format string
+	strict bool
+}
+
+// addConfigCommands adds the command that checks configuration files.
+func addConfigCommands(app *kingpin.Application, commands map[string]command) {
+	group := app.Command(configCommand, "Configuration files.")
+	clause := group.Command("check", "Check configuration files without sending them.")
+	check := &configCheck{}
+	clause.Flag("format-of", "Kind of the files; by content if empty.").
+		Envar("ZINNIASILL_FORMAT_OF").EnumVar(&check.kind, "", string(configcheck.KindProfile), string(configcheck.KindTeam))
+	clause.Flag("format", "Format of the findings.").
+		Envar("ZINNIASILL_FORMAT").Default(formatText).EnumVar(&check.format, formatText, formatJSON)
+	clause.Flag("strict", "Fail on warnings too.").Envar("ZINNIASILL_STRICT").BoolVar(&check.strict)
+	clause.Arg("file", "Profile or team file in YAML or JSON.").Required().StringsVar(&check.files)
+	commands[clause.FullCommand()] = func(context.Context) error { return check.run(os.Stdout) }
+}
+
+// run checks the files and writes the findings to w.
+func (c configCheck) run(w io.Writer) error {
+	files := make([]configcheck.File, 0, len(c.files))
+	for _, name := range c.files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return &usageError{err: eris.Wrap(err, "read the configuration")}
+		}
+		files = append(files, operator.ReadFile(name, configcheck.Kind(c.kind), data))
+	}
+	found := configcheck.Check(files)
+	if err := writeFindings(w, c.format, found); err != nil {
+		return err
+	}
+	return refusal(found, c.strict)
+}
+
+// refusal returns a refusedError if there are errors among the findings or, if strict is set,
+// warnings.
+func refusal(found []configcheck.Finding, strict bool) error {
+	refused := &refusedError{
+		errors:   configcheck.Count(found, configcheck.Error),
+		warnings: configcheck.Count(found, configcheck.Warning),
+	}
+	if refused.errors > 0 || strict && refused.warnings > 0 {
+		return refused
+	}
+	return nil
+}
+
+// writeFindings writes findings in the given format.
+func writeFindings(w io.Writer, format string, found []configcheck.Finding) error {
+	if format == formatJSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(struct {
+			Findings []configcheck.Finding `json:"findings"`
+		}{append([]configcheck.Finding{}, found...)})
+	}
+	for _, finding := range found {
+		if _, err := fmt.Fprintln(w, finding); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/zinniasill/main.go
+++ b/cmd/zinniasill/main.go
@@ -22,16 +22,16 @@
 var version = "dev"
 
 func main() {
-	os.Exit(runMain())
+	os.Exit(runMain(os.Args[1:]))
 }
 
 // runMain runs the command line and returns the exit code.
-func runMain() int {
+func runMain(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := run(ctx, os.Args[1:]); err != nil {
+	if err := run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "zinniasill:", err)
-		return 1
+		return exitCode(err)
 	}
 	return 0
 }
@@ -48,7 +48,11 @@
 	addRoles(app, commands)
 	addOperatorCommands(app, commands)
 	addJobCommands(app, commands)
+	addConfigCommands(app, commands)
 	selected, err := app.Parse(args)
+	if err != nil && len(args) > 0 && args[0] == configCommand {
+		return &usageError{err: err}
+	}
 	if err != nil {
 		return err
 	}
--- a/core/control/validate.go
+++ b/core/control/validate.go
@@ -98,6 +98,16 @@
 	return found
 }
 
+// ValidateTeam returns all validation errors of a team and its quota.
+func ValidateTeam(name zinniasill.Team, quota int) FindingErrors {
+	var found FindingErrors
+	found.checkName("name", string(name))
+	if quota < 0 {
+		found.add("quota", "%d must not be negative", quota)
+	}
+	return found
+}
+
 func (f *FindingErrors) checkTimes(profile catalog.Profile) {
 	if profile.AnswerWithin <= 0 || profile.AnswerWithin > MaxAnswerWithin {
 		f.add("answer-within", "%s must be more than 0s and at most %s", profile.AnswerWithin, MaxAnswerWithin)
@@ -131,10 +141,7 @@
 		found.checkName("name", string(c.Endpoint.Name))
 		found.checkServeState(c.Endpoint.State)
 	case c.Team != nil:
-		found.checkName("name", string(c.Team.Name))
-		if c.Team.Quota < 0 {
-			found.add("quota", "%d must not be negative", c.Team.Quota)
-		}
+		found = append(found, ValidateTeam(c.Team.Name, c.Team.Quota)...)
 	case c.Document != nil:
 		found.checkDocument(*c.Document)
 	case c.Register != nil:
--- a/io/operator/body.go
+++ b/io/operator/body.go
@@ -7,15 +7,15 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"gopkg.in/yaml.v3"
 
 	"zinniasill"
 	"zinniasill/core/catalog"
+	"zinniasill/core/configcheck"
 	"zinniasill/core/control"
 )
 
 // bodyField is the field name in findings about the body as a whole.
-const bodyField = "body"
+const bodyField = configcheck.BodyField
 
 // Duration is a time.Duration that is encoded in JSON as a string such as "250ms".
 type Duration time.Duration
@@ -113,30 +113,6 @@
 	}
 }
 
-// ParseProfile decodes and validates a profile file in YAML or JSON. The error is a
-// control.FindingErrors with all findings.
-func ParseProfile(data []byte) (catalog.Profile, error) {
-	var values map[string]any
-	if err := yaml.Unmarshal(data, &values); err != nil {
-		return catalog.Profile{}, control.FindingErrors{{Field: bodyField, Problem: err.Error()}}
-	}
-	raw := map[string]json.RawMessage{}
-	for field, value := range values {
-		encoded, err := json.Marshal(value)
-		if err != nil {
-			return catalog.Profile{}, control.FindingErrors{{Field: field, Problem: err.Error()}}
-		}
-		raw[field] = encoded
-	}
-	var profile Profile
-	findings := decodeFields(raw, profile.fields())
-	findings = mergeFindings(findings, control.ValidateProfile(profile.catalog()))
-	if len(findings) > 0 {
-		return catalog.Profile{}, findings
-	}
-	return profile.catalog(), nil
-}
-
 // decode decodes a JSON object into the targets, which are keyed by field name. It returns
 // a finding for each field that is unknown or has the wrong type.
 func decode(body []byte, targets ...map[string]any) control.FindingErrors {
--- a/io/operator/resource.go
+++ b/io/operator/resource.go
@@ -119,16 +119,21 @@
 	put := control.PutTeam{Name: zinniasill.Team(name)}
 	var quota *int
 	edit, findings := decodePut(name, body, &put.Name, map[string]any{"quota": &quota})
-	if quota != nil {
-		put.Quota = *quota
-	} else {
-		// A missing quota must not be read as 0, which means no limit.
-		findings = mergeFindings(findings, control.FindingErrors{{Field: "quota", Problem: "is required"}})
-	}
+	findings = requireQuota(findings, quota, &put.Quota)
 	put.Base = edit.BaseRevision
 	return control.Command{Request: edit.RequestID, Team: &put}, findings
 }
 
+// requireQuota sets quota to the decoded one. A missing quota is a finding: it must not be
+// read as 0, which means no limit.
+func requireQuota(findings control.FindingErrors, decoded, quota *int) control.FindingErrors {
+	if decoded == nil {
+		return mergeFindings(findings, control.FindingErrors{{Field: "quota", Problem: "is required"}})
+	}
+	*quota = *decoded
+	return findings
+}
+
 // NodeStatus describes a live entry or agent.
 type NodeStatus struct {
 	ID zinniasill.NodeID `json:"id"`
