Check the platform's configuration with config check

The platform's configuration was checked only by the node that an operator sent it to, and limits that contradict each other were accepted silently: an answer limit below the objective, a stretch below 1, advice that makes all jobs of a queue refused.

config check reads it through platform.CheckFile, which uses the same compile function and the same command validation as Config.Put, now separated from the storing in io/node. Findings of core/route carry the field and the position of the queue. Compile reports numbers out of range, errors of the table and a wrong version together.

--- a/cmd/zinniasill/config.go
+++ b/cmd/zinniasill/config.go
@@ -13,6 +13,7 @@
 
 	"zinniasill/core/configcheck"
 	"zinniasill/io/operator"
+	"zinniasill/platform"
 )
 
 // configCommand is the name of the group of commands about configuration files.
@@ -70,11 +71,11 @@
 	clause := group.Command("check", "Check configuration files without sending them.")
 	check := &configCheck{}
 	clause.Flag("format-of", "Kind of the files; by content if empty.").
-		Envar("ZINNIASILL_FORMAT_OF").EnumVar(&check.kind, "", string(configcheck.KindProfile), string(configcheck.KindTeam))
+		Envar("ZINNIASILL_FORMAT_OF").EnumVar(&check.kind, "", string(configcheck.KindProfile), string(configcheck.KindTeam), string(configcheck.KindPlatform))
 	clause.Flag("format", "Format of the findings.").
 		Envar("ZINNIASILL_FORMAT").Default(formatText).EnumVar(&check.format, formatText, formatJSON)
 	clause.Flag("strict", "Fail on warnings too.").Envar("ZINNIASILL_STRICT").BoolVar(&check.strict)
-	clause.Arg("file", "Profile or team file in YAML or JSON.").Required().StringsVar(&check.files)
+	clause.Arg("file", "Profile or team file in YAML or JSON, or configuration of the platform.").Required().StringsVar(&check.files)
 	commands[clause.FullCommand()] = func(context.Context) error { return check.run(os.Stdout) }
 }
 
@@ -86,7 +87,7 @@
 		if err != nil {
 			return &usageError{err: eris.Wrap(err, "read the configuration")}
 		}
-		files = append(files, operator.ReadFile(name, configcheck.Kind(c.kind), data))
+		files = append(files, decodeFile(name, configcheck.Kind(c.kind), data))
 	}
 	found := configcheck.Check(files)
 	if err := writeFindings(w, c.format, found); err != nil {
@@ -95,6 +96,21 @@
 	return refusal(found, c.strict)
 }
 
+// decodeFile decodes a configuration file. If kind is empty, the content decides: a JSON object
+// with routes or services is a configuration of the platform.
+func decodeFile(name string, kind configcheck.Kind, data []byte) configcheck.File {
+	if kind == "" {
+		lines := configcheck.JSONLines(data)
+		if lines["routes"] > 0 || lines["services"] > 0 {
+			kind = configcheck.KindPlatform
+		}
+	}
+	if kind == configcheck.KindPlatform {
+		return platform.CheckFile(name, data)
+	}
+	return operator.ReadFile(name, kind, data)
+}
+
 // refusal returns a refusedError if there are errors among the findings or, if strict is set,
 // warnings.
 func refusal(found []configcheck.Finding, strict bool) error {
--- a/core/configcheck/file.go
+++ b/core/configcheck/file.go
@@ -8,6 +8,7 @@
 	"zinniasill/core/catalog"
 	"zinniasill/core/control"
 	"zinniasill/core/message"
+	"zinniasill/core/route"
 )
 
 // Kind is the kind of a configuration file.
@@ -17,32 +18,47 @@
 const (
 	KindProfile Kind = "profile"
 	KindTeam    Kind = "team"
+	// KindPlatform is the platform's whole configuration.
+	KindPlatform Kind = "platform"
 )
 
 // BodyField is the field in findings about a file as a whole.
 const BodyField = "body"
 
-// Codes of findings about profile and team files. The code of an invalid value is the kind of
-// the file, a hyphen and the name of the field, such as "profile-max-tasks".
+// Codes of findings. The code of an invalid value is the kind of the file, a hyphen and the
+// name of the field, such as "profile-max-tasks".
 const (
 	CodeSyntax        Code = "syntax"
 	CodeUnknownField  Code = "unknown-field"
 	CodeDuplicateName Code = "duplicate-name"
 	CodeNoSlack       Code = "no-slack"
 	CodeQuotaBelowJob Code = "quota-below-job"
+	// Codes of findings about queues.
+	CodeQueueShadowed Code = "queue-shadowed"
+	CodeAnswerLimit   Code = "answer-below-objective"
+	CodeStretch       Code = "stretch-below-one"
+	CodePriority      Code = "priority-out-of-range"
+	CodeAttempts      Code = "attempts-below-one"
+	CodeAdvice        Code = "advice-unsupported"
+	CodeNoQueues      Code = "no-queues"
+	CodeUnusedService Code = "service-unused"
 )
 
-// File is a decoded profile or team file.
+// File is a decoded configuration file.
 type File struct {
 	Name string
 	Kind Kind
-	// Lines maps the paths of the fields to their lines, as YAMLLines returns them.
+	// Lines maps the paths of the fields to their lines, as YAMLLines and JSONLines return them.
 	Lines map[string]int
 	// Invalid are the validation errors of the file. If there are none, the object of the
 	// file's kind is set.
 	Invalid control.FindingErrors
 	Profile catalog.Profile
 	Team    catalog.TeamEntry
+	// Queues and Services are those of a platform configuration, in the order of its lists
+	// "routes" and "services".
+	Queues   []route.Queue
+	Services []zinniasill.Kind
 }
 
 // accepted describes the values of each field by the kind of the file.
@@ -60,6 +76,14 @@
 		"name":  acceptedName,
 		"quota": "0 for no limit, or the highest number of tasks in flight",
 	},
+	KindPlatform: acceptedPlatform,
+}
+
+// acceptedBody describes each kind of file as a whole.
+var acceptedBody = map[Kind]string{
+	KindProfile:  "one YAML or JSON object",
+	KindTeam:     "one YAML or JSON object",
+	KindPlatform: "one JSON object",
 }
 
 var acceptedName = fmt.Sprintf("1 to %d letters, digits, '-', '_' or '.', the first one a letter or digit", control.MaxNameLength)
@@ -69,6 +93,7 @@
 	var found []Finding
 	for _, file := range files {
 		found = append(found, file.errors()...)
+		found = append(found, file.checkQueues()...)
 	}
 	found = append(found, duplicateNames(files)...)
 	found = append(found, checkSlack(files)...)
@@ -82,13 +107,15 @@
 	found := make([]Finding, 0, len(f.Invalid))
 	for _, invalid := range f.Invalid {
 		finding := f.finding(Error, CodeUnknownField, invalid.Field, invalid.Problem)
-		base, _, _ := strings.Cut(invalid.Field, "[")
+		base := f.baseField(invalid.Field)
 		switch _, known := accepted[f.Kind][base]; {
+		case f.Kind == KindPlatform && base == "host":
+			finding.Code = CodeQueueShadowed
 		case known:
-			finding.Code = Code(string(f.Kind) + "-" + base)
+			finding.Code = Code(string(f.Kind) + "-" + strings.ReplaceAll(base, "_", "-"))
 		case invalid.Field == BodyField:
 			finding.Code = CodeSyntax
-			finding.Accepted = "one YAML or JSON object"
+			finding.Accepted = acceptedBody[f.Kind]
 		}
 		found = append(found, finding)
 	}
@@ -97,8 +124,7 @@
 
 // finding returns a finding about a field of the file.
 func (f File) finding(severity Severity, code Code, field, problem string) Finding {
-	base, _, _ := strings.Cut(field, "[")
-	values, ok := accepted[f.Kind][base]
+	values, ok := accepted[f.Kind][f.baseField(field)]
 	if !ok {
 		values = fieldNames(f.Kind)
 	}
@@ -108,12 +134,29 @@
 	}
 }
 
-// line returns the line of a field, or the first line if the file lacks the field.
+// baseField returns the name under which the field at a path is listed in accepted: the last
+// name in a platform configuration, else the first one.
+func (f File) baseField(path string) string {
+	if f.Kind == KindPlatform {
+		path = path[strings.LastIndexByte(path, '.')+1:]
+	}
+	base, _, _ := strings.Cut(path, "[")
+	return base
+}
+
+// line returns the line of a field. If the file lacks the field, it returns the line of the
+// innermost object around it.
 func (f File) line(field string) int {
-	if line, ok := f.Lines[field]; ok {
-		return line
+	for {
+		if line, ok := f.Lines[field]; ok {
+			return line
+		}
+		end := strings.LastIndexByte(field, '.')
+		if end < 0 {
+			return 1
+		}
+		field = field[:end]
 	}
-	return 1
 }
 
 // duplicateNames warns of objects that a later file replaces.
@@ -125,7 +168,7 @@
 	var found []Finding
 	first := map[object]string{}
 	for _, file := range files {
-		if len(file.Invalid) > 0 {
+		if len(file.Invalid) > 0 || file.Kind == KindPlatform {
 			continue
 		}
 		at := object{kind: file.Kind, name: string(file.Profile.Name)}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -36,9 +36,28 @@
 	Advised bool
 }
 
+// Field is the part of a table that a finding concerns.
+type Field string
+
+// Values of Field.
+const (
+	// FieldVersion is the version of the table; the finding concerns no queue.
+	FieldVersion      Field = "version"
+	FieldKind         Field = "kind"
+	FieldAnswerWithin Field = "answer-within"
+	FieldObjective    Field = "objective"
+	FieldStretch      Field = "stretch"
+	FieldPrefix       Field = "prefix"
+	// FieldAddress is the combination of host and prefix.
+	FieldAddress Field = "address"
+)
+
 // Finding describes one error in a table and the queue that it concerns.
 type Finding struct {
-	Queue   string
+	Queue string
+	// Index is the position of the queue in the list of queues.
+	Index   int
+	Field   Field
 	Problem string
 }
 
@@ -55,6 +74,10 @@
 	listed := e.Findings[:min(len(e.Findings), maxErrorFindings)]
 	parts := make([]string, 0, len(listed)+1)
 	for _, finding := range listed {
+		if finding.Field == FieldVersion {
+			parts = append(parts, finding.Problem)
+			continue
+		}
 		parts = append(parts, fmt.Sprintf("queue %.80q: %s", finding.Queue, finding.Problem))
 	}
 	if others := len(e.Findings) - len(listed); others > 0 {
@@ -83,23 +106,23 @@
 	}
 	first := make(map[address]string, len(queues))
 	var found []Finding
-	add := func(queue Queue, format string, args ...any) {
-		found = append(found, Finding{Queue: queue.Name, Problem: fmt.Sprintf(format, args...)})
-	}
-	for _, queue := range queues {
+	for i, queue := range queues {
+		add := func(field Field, format string, args ...any) {
+			found = append(found, Finding{Queue: queue.Name, Index: i, Field: field, Problem: fmt.Sprintf(format, args...)})
+		}
 		if !known[queue.Kind] {
-			add(queue, "no endpoints of kind %.80q are configured", queue.Kind)
+			add(FieldKind, "no endpoints of kind %.80q are configured", queue.Kind)
 		}
 		if queue.AnswerWithin <= 0 {
-			add(queue, "its time limit %s must be above 0s", queue.AnswerWithin)
+			add(FieldAnswerWithin, "its time limit %s must be above 0s", queue.AnswerWithin)
 		}
 		if queue.Prefix == "" || queue.Prefix[0] != '/' {
-			add(queue, "its path prefix %.80q must begin with a slash", queue.Prefix)
+			add(FieldPrefix, "its path prefix %.80q must begin with a slash", queue.Prefix)
 		}
 		host := canonicalHost(queue.Host)
 		at := address{host: host, prefix: queue.Prefix}
 		if other, ok := first[at]; ok {
-			add(queue, "it shares host %.80q and path prefix %.80q with queue %.80q", host, queue.Prefix, other)
+			add(FieldAddress, "it shares host %.80q and path prefix %.80q with queue %.80q", host, queue.Prefix, other)
 		} else {
 			first[at] = queue.Name
 		}
--- a/io/node/document.go
+++ b/io/node/document.go
@@ -35,21 +35,39 @@
 // PutDocument stores a complete configuration document under a version. It returns once
 // this document, or one with the same or a higher version, is in force.
 func (c *Control) PutDocument(ctx context.Context, version zinniasill.DocumentVersion, content []byte) error {
-	packed, err := packDocument(content)
+	command, err := documentCommand(version, content)
 	if err != nil {
 		return err
 	}
+	result, err := c.configuration().Propose(ctx, command)
+	if err != nil {
+		return err
+	}
+	return refused(result)
+}
+
+// ValidateDocument returns all validation errors of a document as PutDocument stores it.
+func ValidateDocument(version zinniasill.DocumentVersion, content []byte) (control.FindingErrors, error) {
+	command, err := documentCommand(version, content)
+	if err != nil {
+		return nil, err
+	}
+	return command.Validate(), nil
+}
+
+// documentCommand returns the command that stores a document.
+func documentCommand(version zinniasill.DocumentVersion, content []byte) (control.Command, error) {
+	packed, err := packDocument(content)
+	if err != nil {
+		return control.Command{}, err
+	}
 	// The digest is that of the packed content, since another build may pack the same
 	// content differently.
 	digest := sha256.Sum256(packed)
-	result, err := c.configuration().Propose(ctx, control.Command{
+	return control.Command{
 		Request:  control.RequestID(fmt.Sprintf("document-%d-%x", version, digest[:16])),
 		Document: &control.PutDocument{Version: version, Content: packed},
-	})
-	if err != nil {
-		return err
-	}
-	return refused(result)
+	}, nil
 }
 
 // packDocument compresses the content of a document. Each change of the configuration is
