Refuse to send profiles and teams with errors

profile put and team put sent a team's arguments unchecked, and printed the errors of a profile file without line, code or what is accepted.

Both run the configuration check first, print its findings and send nothing if there is an error. --no-check leaves the check out and sends what can be decoded.

--- a/cmd/zinniasill/config.go
+++ b/cmd/zinniasill/config.go
@@ -11,7 +11,10 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
+	"zinniasill"
+	"zinniasill/core/catalog"
 	"zinniasill/core/configcheck"
+	"zinniasill/core/control"
 	"zinniasill/io/operator"
 	"zinniasill/platform"
 )
@@ -140,3 +143,42 @@
 	}
 	return nil
 }
+
+// registerNoCheck adds the flag that sends an object despite errors of the check.
+func registerNoCheck(clause *kingpin.CmdClause) *bool {
+	return clause.Flag("no-check", "Send even if the configuration check finds errors.").Envar("ZINNIASILL_NO_CHECK").Bool()
+}
+
+// readProfile reads a profile file. Unless noCheck is set, it checks the file, writes the
+// findings to standard error and returns an error if there is one among them.
+func readProfile(name string, noCheck bool) (catalog.Profile, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return catalog.Profile{}, eris.Wrap(err, "read the profile")
+	}
+	if noCheck {
+		profile, err := operator.DecodeProfile(data)
+		return profile, eris.Wrap(err, name)
+	}
+	file := operator.ReadFile(name, configcheck.KindProfile, data)
+	return file.Profile, reportErrors(file)
+}
+
+// checkTeam checks the arguments of team put. It writes the findings to standard error and
+// returns an error if there is one among them.
+func checkTeam(name zinniasill.Team, quota int) error {
+	return reportErrors(configcheck.File{
+		Name: "arguments", Kind: configcheck.KindTeam,
+		Invalid: control.ValidateTeam(name, quota), Team: catalog.TeamEntry{Name: name, Quota: quota},
+	})
+}
+
+// reportErrors checks a file, writes the findings to standard error, and returns an error if
+// there is one among them.
+func reportErrors(file configcheck.File) error {
+	found := configcheck.Check([]configcheck.File{file})
+	if err := writeFindings(os.Stderr, formatText, found); err != nil {
+		return err
+	}
+	return refusal(found, false)
+}
--- a/cmd/zinniasill/operator.go
+++ b/cmd/zinniasill/operator.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rotisserie/eris"
 
 	"zinniasill"
 	"zinniasill/core/catalog"
@@ -119,14 +118,11 @@
 	group := app.Command("profile", "Profiles.")
 	put := group.Command("put", "Create or replace the profile in a file.")
 	file := put.Arg("file", "Profile file in YAML or JSON.").Required().ExistingFile()
+	noCheck := registerNoCheck(put)
 	add(put, &controlFlags{}, func(ctx context.Context, client operator.Client) error {
-		data, err := os.ReadFile(*file)
+		profile, err := readProfile(*file, *noCheck)
 		if err != nil {
-			return eris.Wrap(err, "read the profile")
-		}
-		profile, err := operator.ParseProfile(data)
-		if err != nil {
-			return fmt.Errorf("%s: %w", *file, err)
+			return err
 		}
 		current, err := client.Profile(ctx, profile.Name)
 		if err != nil && !isNotFound(err) {
@@ -193,7 +189,11 @@
 	put := group.Command("put", "Set the quota of a team.")
 	name := put.Arg("name", "Name of the team.").Required().String()
 	quota := put.Arg("quota", "Maximum number of tasks in flight, 0 for no limit.").Required().Int()
+	noCheck := registerNoCheck(put)
 	add(put, &controlFlags{}, func(ctx context.Context, client operator.Client) error {
+		if err := checkTeam(zinniasill.Team(*name), *quota); err != nil && !*noCheck {
+			return err
+		}
 		current, err := client.Team(ctx, zinniasill.Team(*name))
 		if err != nil && !isNotFound(err) {
 			return err
