Compare configuration files with the configuration in force

A file could pass the check although its version is not above the one in force, so that it has no effect, or although it turns away jobs that are accepted now.

--- a/cmd/zinniasill/config.go
+++ b/cmd/zinniasill/config.go
@@ -16,6 +16,7 @@
 	"zinniasill/core/configcheck"
 	"zinniasill/core/control"
 	"zinniasill/io/operator"
+	"zinniasill/io/settings"
 	"zinniasill/platform"
 )
 
@@ -66,6 +67,8 @@
 	kind   string
 	format string
 	strict bool
+	// control has no addresses for a check without the configuration in force.
+	control controlFlags
 }
 
 // addConfigCommands adds the command that checks configuration files.
@@ -78,12 +81,15 @@
 	clause.Flag("format", "Format of the findings.").
 		Envar("ZINNIASILL_FORMAT").Default(formatText).EnumVar(&check.format, formatText, formatJSON)
 	clause.Flag("strict", "Fail on warnings too.").Envar("ZINNIASILL_STRICT").BoolVar(&check.strict)
+	clause.Flag("control", "Addresses (ip:port) of the interfaces for operators, separated by commas, to compare with the configuration in force.").
+		StringVar(&check.control.addresses)
+	settings.RegisterTLS(clause, &check.control.files)
 	clause.Arg("file", "Profile or team file in YAML or JSON, or configuration of the platform.").Required().StringsVar(&check.files)
-	commands[clause.FullCommand()] = func(context.Context) error { return check.run(os.Stdout) }
+	commands[clause.FullCommand()] = func(ctx context.Context) error { return check.run(ctx, os.Stdout) }
 }
 
 // run checks the files and writes the findings to w.
-func (c configCheck) run(w io.Writer) error {
+func (c configCheck) run(ctx context.Context, w io.Writer) error {
 	files := make([]configcheck.File, 0, len(c.files))
 	for _, name := range c.files {
 		data, err := os.ReadFile(name)
@@ -93,6 +99,15 @@
 		files = append(files, decodeFile(name, configcheck.Kind(c.kind), data))
 	}
 	found := configcheck.Check(files)
+	if c.control.addresses != "" {
+		ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+		defer cancel()
+		inForce, err := c.control.inForce(ctx, files)
+		if err != nil {
+			return eris.Wrap(err, "read the configuration in force")
+		}
+		found = configcheck.Merge(found, configcheck.Compare(files, inForce))
+	}
 	if err := writeFindings(w, c.format, found); err != nil {
 		return err
 	}
--- a/cmd/zinniasill/config_test.go
+++ b/cmd/zinniasill/config_test.go
@@ -55,8 +55,8 @@
 func TestConfigCheckFormats(t *testing.T) {
 	path := writeFile(t, "team", "name: shop\nquota: -1\n")
 	var text, encoded bytes.Buffer
-	textErr := configCheck{files: []string{path}, format: formatText}.run(&text)
-	jsonErr := configCheck{files: []string{path}, format: formatJSON}.run(&encoded)
+	textErr := configCheck{files: []string{path}, format: formatText}.run(t.Context(), &text)
+	jsonErr := configCheck{files: []string{path}, format: formatJSON}.run(t.Context(), &encoded)
 	var decoded struct{ Findings []configcheck.Finding }
 	if err := json.Unmarshal(encoded.Bytes(), &decoded); err != nil || len(decoded.Findings) != 1 {
 		t.Fatalf("%v: %s", err, encoded.Bytes())
--- a/core/configcheck/file.go
+++ b/core/configcheck/file.go
@@ -55,8 +55,9 @@
 	Invalid control.FindingErrors
 	Profile catalog.Profile
 	Team    catalog.TeamEntry
-	// Queues and Services are those of a platform configuration, in the order of its lists
+	// Version, Queues and Services are those of a platform configuration, in the order of its lists
 	// "routes" and "services".
+	Version  zinniasill.DocumentVersion
 	Queues   []route.Queue
 	Services []zinniasill.Kind
 }
