Warn of quotas whose share at one entry is below the largest job

An entry allows a team its share of the quota, so a quota above the largest job may still refuse that job at every entry.

--- a/cmd/zinniasill/config.go
+++ b/cmd/zinniasill/config.go
@@ -159,19 +159,20 @@
 	return nil
 }
 
-// registerNoCheck adds the flag that sends an object despite errors of the check.
-func registerNoCheck(clause *kingpin.CmdClause) *bool {
-	return clause.Flag("no-check", "Send even if the configuration check finds errors.").Envar("ZINNIASILL_NO_CHECK").Bool()
+// registerCheck adds the flag --no-check, which sends an object despite errors of the check.
+func registerCheck(clause *kingpin.CmdClause) *bool {
+	return clause.Flag("check", "Send nothing if the configuration check finds errors.").
+		Envar("ZINNIASILL_CHECK").Default("true").Bool()
 }
 
-// readProfile reads a profile file. Unless noCheck is set, it checks the file, writes the
+// readProfile reads a profile file. If check is set, it checks the file, writes the
 // findings to standard error and returns an error if there is one among them.
-func readProfile(name string, noCheck bool) (catalog.Profile, error) {
+func readProfile(name string, check bool) (catalog.Profile, error) {
 	data, err := os.ReadFile(name)
 	if err != nil {
 		return catalog.Profile{}, eris.Wrap(err, "read the profile")
 	}
-	if noCheck {
+	if !check {
 		profile, err := operator.DecodeProfile(data)
 		return profile, eris.Wrap(err, name)
 	}
--- a/cmd/zinniasill/inforce.go
+++ b/cmd/zinniasill/inforce.go
@@ -51,7 +51,7 @@
 	return inForce, nil
 }
 
-// addStatus adds the teams and the live agents of a status.
+// addStatus adds the teams, the live agents and the number of live entries of a status.
 func addStatus(inForce *configcheck.InForce, status operator.Status) {
 	inForce.Teams = map[zinniasill.Team]catalog.TeamEntry{}
 	for _, team := range status.Teams {
@@ -60,6 +60,9 @@
 	inForce.Kinds = map[zinniasill.Kind]bool{}
 	inForce.Domains = map[zinniasill.Domain]bool{}
 	for _, node := range status.Nodes {
+		if node.Role == catalog.RoleEntry {
+			inForce.Entries++
+		}
 		if node.Role != catalog.RoleAgent {
 			continue
 		}
--- a/cmd/zinniasill/operator.go
+++ b/cmd/zinniasill/operator.go
@@ -118,9 +118,9 @@
 	group := app.Command("profile", "Profiles.")
 	put := group.Command("put", "Create or replace the profile in a file.")
 	file := put.Arg("file", "Profile file in YAML or JSON.").Required().ExistingFile()
-	noCheck := registerNoCheck(put)
+	check := registerCheck(put)
 	add(put, &controlFlags{}, func(ctx context.Context, client operator.Client) error {
-		profile, err := readProfile(*file, *noCheck)
+		profile, err := readProfile(*file, *check)
 		if err != nil {
 			return err
 		}
@@ -189,10 +189,12 @@
 	put := group.Command("put", "Set the quota of a team.")
 	name := put.Arg("name", "Name of the team.").Required().String()
 	quota := put.Arg("quota", "Maximum number of tasks in flight, 0 for no limit.").Required().Int()
-	noCheck := registerNoCheck(put)
+	check := registerCheck(put)
 	add(put, &controlFlags{}, func(ctx context.Context, client operator.Client) error {
-		if err := checkTeam(zinniasill.Team(*name), *quota); err != nil && !*noCheck {
-			return err
+		if *check {
+			if err := checkTeam(zinniasill.Team(*name), *quota); err != nil {
+				return err
+			}
 		}
 		current, err := client.Team(ctx, zinniasill.Team(*name))
 		if err != nil && !isNotFound(err) {
--- a/core/configcheck/compare.go
+++ b/core/configcheck/compare.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"zinniasill"
+	"zinniasill/core/admission"
 	"zinniasill/core/catalog"
 	"zinniasill/core/route"
 )
@@ -15,6 +17,7 @@
 	CodeChanged               Code = "changed"
 	CodeRemoved               Code = "removed"
 	CodeTurnsAway             Code = "turns-away"
+	CodeQuotaShareBelowJob    Code = "quota-share-below-job"
 	CodeVersionNotHigher      Code = "version-not-higher"
 	CodeKindWithoutEndpoint   Code = "kind-without-endpoint"
 	CodeDomainWithoutEndpoint Code = "domain-without-endpoint"
@@ -27,6 +30,8 @@
 	// Kinds and Domains are those of the live agents.
 	Kinds   map[zinniasill.Kind]bool
 	Domains map[zinniasill.Domain]bool
+	// Entries is the number of live entries, which share the quotas.
+	Entries int
 	// Platform is the platform's configuration.
 	Platform File
 }
@@ -47,10 +52,42 @@
 			found = append(found, file.checkEndpoints(inForce)...)
 		}
 	}
+	found = append(found, checkShares(files, inForce)...)
 	sortFindings(found)
 	return found
 }
 
+// checkShares warns of quotas whose share at one entry is below the largest job of a profile
+// among the files. It considers the teams in force and those
+// among the files.
+func checkShares(files []File, inForce InForce) []Finding {
+	if inForce.Entries == 0 {
+		return nil
+	}
+	teams := map[zinniasill.Team]catalog.TeamEntry{}
+	maps.Copy(teams, inForce.Teams)
+	for _, file := range files {
+		if file.Kind == KindTeam && len(file.Invalid) == 0 {
+			teams[file.Team.Name] = file.Team
+		}
+	}
+	var found []Finding
+	for _, file := range files {
+		if file.Kind != KindProfile || len(file.Invalid) > 0 {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(teams)) {
+			quota := teams[name].Quota
+			if share := admission.Share(quota, inForce.Entries); quota > 0 && share < file.Profile.MaxTasks {
+				found = append(found, file.finding(Warning, CodeQuotaShareBelowJob, "max-tasks",
+					fmt.Sprintf("%d is above the share of %d that each of %d entries has of the quota %d of team %q",
+						file.Profile.MaxTasks, share, inForce.Entries, quota, name)))
+			}
+		}
+	}
+	return found
+}
+
 // change is one field of an object before and after.
 type change struct {
 	field    string
--- a/core/configcheck/compare_test.go
+++ b/core/configcheck/compare_test.go
@@ -103,3 +103,35 @@
 		})
 	}
 }
+
+// TestQuotaShare guards against a quota that seems to allow the largest job of a profile although
+// the share of one entry does not.
+func TestQuotaShare(t *testing.T) {
+	const warning = "warning quota-share-below-job max-tasks"
+	tests := map[string]struct {
+		entries int
+		team    string
+		want    string
+	}{
+		"one entry":          {1, "name: shop\nquota: 10\n", ""},
+		"two entries":        {2, "name: shop\nquota: 10\n", warning},
+		"share rounded up":   {2, "name: shop\nquota: 19\n", "note changed quota"},
+		"no entry known":     {0, "name: shop\nquota: 10\n", ""},
+		"no limit":           {2, "name: shop\nquota: 0\n", "note changed quota"},
+		"team only in force": {2, "", warning},
+		"two teams":          {2, "name: free\nquota: 18\n", warning + ", " + warning + ", note changed quota, warning turns-away quota"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			files := []configcheck.File{operator.ReadFile("a", "", []byte(validProfile))}
+			if test.team != "" {
+				files = append(files, operator.ReadFile("b", "", []byte(test.team)))
+			}
+			state := inForce()
+			state.Entries = test.entries
+			if got := codes(configcheck.Compare(files, state)); got != test.want {
+				t.Errorf("found %q, want %q", got, test.want)
+			}
+		})
+	}
+}
