--- a/core/configcheck/file.go
+++ b/core/configcheck/file.go
@@ -110,7 +110,8 @@
 		finding := f.finding(Error, CodeUnknownField, invalid.Field, invalid.Problem)
 		base := f.baseField(invalid.Field)
 		switch _, known := accepted[f.Kind][base]; {
-		case f.Kind == KindPlatform && base == "host":
+		case f.Kind == KindPlatform && base == "host" && strings.Contains(invalid.Field, "]"):
+			// A host of the wrong type is reported without the position of its queue.
 			finding.Code = CodeQueueShadowed
 		case known:
 			finding.Code = Code(string(f.Kind) + "-" + strings.ReplaceAll(base, "_", "-"))
