Revert the agents that an entry adds to its subset under load

When all entries are full at once, each adds agents that are free only for a moment, and more entries compete for each endpoint. It may come back with a signal that tells one full entry from all.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -83,10 +83,6 @@
 	// heartbeatDue is set if the agent needs a message soon to keep its tasks.
 	heartbeatDue bool
 	hash         uint64
-	// joining is set from the addition of the agent to the subset until its next report.
-	// freeWhenAdded is the CPU that was free then, in thousandths of a core.
-	joining       bool
-	freeWhenAdded int64
 }
 
 func newAgent(member subset.Member, now time.Time) *agent {
@@ -197,10 +193,6 @@
 	a.lastReport = now
 	a.reportSentAt = progress.SentAt
 	a.load = progress.Load
-	if a.joining {
-		a.joining = false
-		a.freeWhenAdded = max(a.load.Capacity.MilliCPU-a.load.Used.MilliCPU, 0)
-	}
 	if progress.Session != a.session {
 		return
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -26,9 +26,7 @@
 	"zinniasill"
 	"zinniasill/core/joblock"
 	"zinniasill/core/message"
-	"zinniasill/core/overload"
 	"zinniasill/core/resource"
-	"zinniasill/core/subset"
 )
 
 // RequestID identifies the request of a caller that waits for an answer.
@@ -105,8 +103,6 @@
 	Self     zinniasill.Node
 	Domain   zinniasill.Domain
 	Recorder zinniasill.Recorder
-	// FixedSubset keeps the entry from adding agents to its subset under load.
-	FixedSubset bool
 	// NoWarmup makes admission ignore the capacity of agents that have not reported yet, for
 	// comparisons in tests.
 	NoWarmup bool
@@ -123,10 +119,6 @@
 	// agents are those of the subset, and others that still have tasks or report.
 	agents       map[zinniasill.NodeID]*agent
 	sortedAgents []*agent // by id
-	// spare are the agents that are not in the subset, in the order in which widening adds
-	// them.
-	spare        []subset.Member
-	widening     subset.Widening
 	firstAgentAt time.Time
 	domainsOut   map[zinniasill.Domain]bool
 	jobs         map[string]*job
@@ -202,9 +194,6 @@
 	candidates := d.candidates(now)
 	wait, reason := d.admit(now, j, candidates)
 	wait, reason = d.reconsider(now, j, candidates, wait, reason)
-	if reason == zinniasill.ReasonOverload || j.class == overload.Deferred {
-		d.widening.Press(now)
-	}
 	if reason != "" {
 		d.record("job-refused", slog.String("job", j.ID), slog.String("queue", j.Queue),
 			slog.String("reason", string(reason)), slog.Duration("wait", wait),
@@ -288,7 +277,6 @@
 		}
 	}
 	d.locks.Tick(now)
-	d.widen(now)
 	d.abortPostponed(now)
 	d.forgetUnused(now)
 	d.crashes.expire(now)
--- a/core/dispatch/members.go
+++ b/core/dispatch/members.go
@@ -43,8 +43,6 @@
 		}
 		a.inUse = inUse
 	}
-	d.setSpare(members, chosen)
-	d.useExtra(now)
 	if len(members.Agents) > 0 {
 		d.overload.entriesPerAgent = int64(len(members.Entries) * len(chosen) / len(members.Agents))
 	}
