Use free endpoints before faster ones, and make deferral of late jobs an option

Tasks waited at entries for fast endpoints while slow ones were idle in a burst. Deferred jobs took capacity from jobs that could be on time, and many of them ended without a usable answer (504), since a burst lasts longer than answers are useful.

--- a/cmd/zinniasill-platform/main.go
+++ b/cmd/zinniasill-platform/main.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"zinniasill/core/dispatch"
 	"zinniasill/io/daemon"
 	"zinniasill/io/decision"
 	"zinniasill/io/metrics"
@@ -38,6 +39,9 @@
 	app.Version(version)
 	path := app.Flag("settings", "Settings file of the platform.").
 		Envar(platform.SettingsVariable).Required().String()
+	overload := app.Flag("overload", "What an entry does with a job that cannot meet its objective: refuse-late or defer-late.").
+		Envar("ZINNIASILL_OVERLOAD").Default(string(dispatch.RefuseLate)).
+		Enum(string(dispatch.RefuseLate), string(dispatch.DeferLate))
 	roles := map[string]settings.Role{
 		app.Command("entry", "Accept jobs from callers.").FullCommand():                                 settings.RoleDispatcher,
 		app.Command("agent", "Supervise the endpoint on this machine.").FullCommand():                   settings.RoleSupervisor,
@@ -51,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	s.Process.Overload = dispatch.OverloadPolicy(*overload)
 	return runRole(s, roles[selected])
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -19,6 +19,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"time"
@@ -110,6 +111,7 @@
 	IgnoreSpeed bool
 	// Counters, if set, counts changes of class in overload_classes_total.
 	Counters zinniasill.Counters
+	// Overload is RefuseLate if it is empty.
 	Overload OverloadPolicy
 }
 
@@ -148,6 +150,7 @@
 
 // New returns a dispatcher without agents.
 func New(cfg Config) *Dispatcher {
+	cfg.Overload = cmp.Or(cfg.Overload, RefuseLate)
 	return &Dispatcher{
 		cfg:         cfg,
 		agents:      map[zinniasill.NodeID]*agent{},
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -57,7 +57,7 @@
 	agent            *agent
 	// avoid is the agent where the last attempt failed or that returned the task.
 	avoid *agent
-	// held is set once the task has waited for a faster endpoint while another was free.
+	// held is set once the task has waited for the endpoint with its data while another was free.
 	held bool
 	// command is the number of the command that last assigned the task.
 	command uint64
--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -14,11 +14,12 @@
 
 // Values of OverloadPolicy.
 const (
-	// DeferLate accepts the job if capacity that on-time work does not need is expected to
-	// serve it while its answer is still useful. It is the default.
-	DeferLate OverloadPolicy = ""
-	// RefuseLate refuses the job.
+	// RefuseLate refuses the job. It is the default: under a burst of several seconds, jobs
+	// that are deferred take capacity from those that could be on time.
 	RefuseLate OverloadPolicy = "refuse-late"
+	// DeferLate accepts the job if capacity that on-time work does not need is expected to
+	// serve it while its answer is still useful.
+	DeferLate OverloadPolicy = "defer-late"
 )
 
 const (
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -219,16 +219,20 @@
 }
 
 // preferFree returns the option for a task, given the best of all and the best of those
-// that have free capacity. A task waits for a faster endpoint only if no free one meets its
-// objective, and if the wait is worth it.
+// that have free capacity. A task never waits at the entry for a faster endpoint while
+// another one is free: in a burst, the capacity that then stays unused is missing for other
+// tasks. It waits in the queue of a faster one only if no free one meets its objective, and
+// if the wait is worth it.
 func (p *placementPass) preferFree(t *task, best, free option) option {
 	if !p.unlike || free.candidate == nil || free.candidate == best.candidate || t.near(best) && !t.near(free) {
 		return best
 	}
-	if free.cost <= t.timeLeft(p.now) || free.cost <= best.cost+(waitRisk-1)*best.wait {
+	switch {
+	case best.wait > maxQueuedWait, free.cost <= t.timeLeft(p.now), free.cost <= best.cost+(waitRisk-1)*best.wait:
 		return free
+	default:
+		return best
 	}
-	return best
 }
 
 // near reports whether the task's data is at the endpoint.
@@ -237,8 +241,8 @@
 	return label != "" && slices.Contains(o.candidate.agent.load.Labels, label)
 }
 
-// reserve reports whether a task waits for a faster endpoint although another one has free
-// capacity. Tasks behind it may then be placed, but not by the capacity that it waits for.
+// reserve reports whether a task waits for the endpoint with its data although another one has
+// free capacity. Tasks behind it may then be placed, but not by the capacity that it waits for.
 func (d *Dispatcher) reserve(t *task, best *candidate, candidates []*candidate) bool {
 	if !best.pass.unlike {
 		return false
@@ -253,7 +257,7 @@
 	return false
 }
 
-// recordHeld records once for each task that it waits for a faster endpoint.
+// recordHeld records once for each task that it waits while another endpoint is free.
 func (d *Dispatcher) recordHeld(t *task, best, free *candidate) {
 	if t.held {
 		return
--- a/io/node/adapter.go
+++ b/io/node/adapter.go
@@ -90,7 +90,9 @@
 
 func (p *Process) buildDispatcher() error {
 	cfg, link := p.directConfig(catalog.RoleEntry)
-	role := NewDispatcher(DispatcherConfig{DirectConfig: cfg, Compile: p.cfg.Adapter.Compile})
+	role := NewDispatcher(DispatcherConfig{
+		DirectConfig: cfg, Compile: p.cfg.Adapter.Compile, Overload: p.cfg.Settings.Overload,
+	})
 	p.addDirectRole(cfg, role, role.Start)
 	if err := p.serveAdapter(func(a *Adapter) []AdapterServer { return a.Dispatcher(role) }); err != nil {
 		return err
--- a/io/node/dispatcher.go
+++ b/io/node/dispatcher.go
@@ -29,6 +29,8 @@
 	DirectConfig
 	// Compile builds the routing table from the content of a configuration document.
 	Compile func(content []byte) (*route.Table, error)
+	// Overload is dispatch.Config.Overload.
+	Overload dispatch.OverloadPolicy
 }
 
 // Dispatcher is the entry role for direct jobs. Use NewDispatcher.
@@ -56,6 +58,7 @@
 	d.renewer = cfg.LeaseRenewer
 	d.jobs = dispatch.New(dispatch.Config{
 		Self: cfg.LeaseRenewer.Node(), Domain: cfg.Report.Domain, Recorder: cfg.Recorder, Counters: cfg.Counters,
+		Overload: cfg.Overload,
 	})
 	d.loop = cfg.newLoop(d.jobs, d.afterIteration)
 	return d
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -25,6 +25,7 @@
 	"zinniasill/core/agent"
 	"zinniasill/core/consensus"
 	"zinniasill/core/control"
+	"zinniasill/core/dispatch"
 	"zinniasill/core/job"
 	"zinniasill/io/identity"
 )
@@ -77,7 +78,9 @@
 	// ReplaceAfter is control.LeaderTasksConfig.ReplaceTimeout. It has no flag: an adapter sets
 	// it if its node names allow a shorter time.
 	ReplaceAfter time.Duration
-	MaxRequests  int
+	// Overload is dispatch.Config.Overload. It has no flag here: only direct jobs have it.
+	Overload    dispatch.OverloadPolicy
+	MaxRequests int
 	// MemoryLimit is the memory that the process may use in bytes, and DescriptorLimit the
 	// number of descriptors that it may open. 0 means unknown; see DetectLimits.
 	MemoryLimit     int64
