--- a/core/configcheck/file.go
+++ b/core/configcheck/file.go
@@ -41,6 +41,7 @@
 	CodeAttempts      Code = "attempts-below-one"
 	CodeAdvice        Code = "advice-unsupported"
 	CodeNoQueues      Code = "no-queues"
+	CodeBodyLimit     Code = "body-limit-below-job"
 	CodeUnusedService Code = "service-unused"
 )
 
@@ -60,6 +61,9 @@
 	Version  zinniasill.DocumentVersion
 	Queues   []route.Queue
 	Services []zinniasill.Kind
+	// BodyLimit is the limit of a platform configuration for the body of a request, in bytes,
+	// 0 if it has none. LargestJob is the size of the largest body of a job that entries accept.
+	BodyLimit, LargestJob int64
 }
 
 // accepted describes the values of each field by the kind of the file.
--- a/core/configcheck/queue.go
+++ b/core/configcheck/queue.go
@@ -22,8 +22,10 @@
 	"priority":    fmt.Sprintf("0 to %d, 0 is the highest", message.Priorities-1),
 	"attempts":    "a whole number from 1",
 	"advice":      "none",
-	"routes":      "at least one queue",
-	"services":    "services that a queue names",
+	// Entries have a limit of their own.
+	"max_body_bytes": "at least the size of the largest job that entries accept",
+	"routes":         "at least one queue",
+	"services":       "services that a queue names",
 }
 
 // checkQueues returns the warnings and notes about the queues of a platform configuration.
@@ -50,6 +52,10 @@
 			found = append(found, f.checkQueue(path, queue)...)
 		}
 	}
+	if f.BodyLimit > 0 && f.BodyLimit < f.LargestJob {
+		found = append(found, f.finding(Warning, CodeBodyLimit, "limits.max_body_bytes",
+			fmt.Sprintf("%d bytes are fewer than the largest job, %d, that entries accept", f.BodyLimit, f.LargestJob)))
+	}
 	return append(found, f.unusedServices()...)
 }
 
