--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -62,7 +62,7 @@
 	// round numbers the lists of waiting jobs, see waitingJobs.
 	round uint64
 	// waiting counts the waiting jobs of each class at the last classification.
-	waiting [overload.Hopeless + 1]int
+	waiting [overload.TooLate + 1]int
 }
 
 // usefulFor returns the time from the arrival of a job for which its answer is useful. A
@@ -190,7 +190,7 @@
 }
 
 // classifyWaiting updates the classes of the waiting jobs that have not begun, and refuses
-// those that have become hopeless.
+// those that have become too late.
 func (d *Dispatcher) classifyWaiting(now time.Time, candidates []*candidate) {
 	if d.cfg.Overload == RefuseLate || now.Sub(d.overload.classifiedAt) < classifyInterval {
 		return
@@ -206,7 +206,7 @@
 		described = append(described, d.describe(now, j))
 	}
 	classes := overload.Classify(capacity, described)
-	d.overload.waiting = [overload.Hopeless + 1]int{}
+	d.overload.waiting = [overload.TooLate + 1]int{}
 	for _, class := range classes {
 		d.overload.waiting[class]++
 	}
@@ -220,7 +220,7 @@
 			continue
 		}
 		wait := capacity.DeferredWait(0, described[i].Work)
-		if class == overload.Hopeless && j.mayHaveRun {
+		if class == overload.TooLate && j.mayHaveRun {
 			// A refusal would not be true.
 			class = overload.Deferred
 		}
@@ -229,7 +229,7 @@
 		}
 		d.recordClass(now, "job-displaced", j, class.String(), wait, described[i].LastStart, capacity, candidates)
 		j.class = class
-		if class == overload.Hopeless {
+		if class == overload.TooLate {
 			d.abort(now, j, zinniasill.ReasonOverload)
 		}
 	}
--- a/core/dispatch/overload_test.go
+++ b/core/dispatch/overload_test.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// TestHopelessJobIsRefused guards against a job that waits although it has become hopeless,
+// TestTooLateJobIsRefused guards against a job that waits although it has become too late,
 // and against a refusal that is not true.
-func TestHopelessJobIsRefused(t *testing.T) {
+func TestTooLateJobIsRefused(t *testing.T) {
 	tests := map[string]struct {
 		mayHaveRun bool
 		want       int // replies after the loss of the capacity
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -26,8 +26,8 @@
 	OnTime Class = iota
 	// Deferred means that it is expected to end late, while its answer is still useful.
 	Deferred
-	// Hopeless means that it is expected to end when its answer is no longer useful.
-	Hopeless
+	// TooLate means that it is expected to end when its answer is no longer useful.
+	TooLate
 )
 
 // String returns the name of the class in decision lines.
@@ -38,7 +38,7 @@
 	case Deferred:
 		return "deferred"
 	default:
-		return "hopeless"
+		return "too-late"
 	}
 }
 
@@ -125,7 +125,7 @@
 // start. Whenever one would start too late, the job that costs callers least is removed from
 // the schedule (the rule of Moore and Hodgson, see displaced). Removed jobs are scheduled
 // again behind the others, by the same rule with LastStart and at the deferred rate; those
-// that do not fit there are hopeless.
+// that do not fit there are too late.
 func Classify(capacity Capacity, jobs []Job) []Class {
 	classes := make([]Class, len(jobs))
 	all := make([]int, len(jobs))
@@ -146,7 +146,7 @@
 		classes[i] = Deferred
 	}
 	for _, i := range s.fill(late) {
-		classes[i] = Hopeless
+		classes[i] = TooLate
 	}
 	return classes
 }
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -85,7 +85,7 @@
 	})
 }
 
-// TestAllFit guards against a job that is not on time, or hopeless, although all jobs fit.
+// TestAllFit guards against a job that is not on time, or too late, although all jobs fit.
 func TestAllFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		jobs, capacity := drawJobs(t), drawCapacity(t)
@@ -104,8 +104,8 @@
 		}
 		fit = Wait(work, capacity.DeferredRate()) <= first
 		for i, class := range Classify(capacity, jobs) {
-			if fit && class == Hopeless {
-				t.Fatalf("job %d is hopeless although all jobs fit at the deferred rate", i)
+			if fit && class == TooLate {
+				t.Fatalf("job %d is too late although all jobs fit at the deferred rate", i)
 			}
 		}
 	})
@@ -166,7 +166,7 @@
 			classes := make([]Class, len(jobs))
 			count := 0
 			for i := range jobs {
-				classes[i] = Hopeless
+				classes[i] = TooLate
 				if choice>>i&1 == 1 {
 					classes[i] = OnTime
 					count++
