Detect the descriptor limit of a process in one place

Cause: io/node had a copy of the detection in io/settings, with its constants. Change: settings.ProcessDescriptors serves both. In core/dispatch two opposite conditions on the same field became one if with else. Behaviour is unchanged. Checked: linter; tests of core/dispatch, io/settings, io/node and cmd, without the known red one.

--- a/core/dispatch/agent.go
+++ b/core/dispatch/agent.go
@@ -206,8 +206,7 @@
 func (d *Dispatcher) replaceIncarnation(now time.Time, a *agent, progress message.Progress) {
 	if a.incarnation != 0 {
 		d.loseAgent(now, a, "agent-restarted")
-	}
-	if a.incarnation == 0 {
+	} else {
 		a.respondingSince = now
 	}
 	a.incarnation = progress.Agent
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -32,8 +31,6 @@
 const (
 	// defaultMemoryLimit applies if the limit is neither set nor detected.
 	defaultMemoryLimit = 1 << 30
-	// defaultDescriptorLimit applies if the limit is neither set nor known to the system.
-	defaultDescriptorLimit = 1024
 	// ownDescriptorPart is the part of the descriptors that is kept for files and links, one
 	// in ownDescriptorPart, and minOwnDescriptors the least number of them.
 	ownDescriptorPart = 8
@@ -73,12 +70,7 @@
 	if s.DescriptorLimit > 0 {
 		return s.DescriptorLimit
 	}
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
-		return defaultDescriptorLimit
-	}
-	const most = 1 << 20
-	return int(min(limit.Cur, most))
+	return settings.ProcessDescriptors()
 }
 
 // connectionLimit returns the number of connections that HTTP clients can open.
--- a/io/settings/limits.go
+++ b/io/settings/limits.go
@@ -31,7 +31,7 @@
 		s.MemoryLimit = detectMemory(root)
 	}
 	if s.DescriptorLimit == 0 {
-		s.DescriptorLimit = processDescriptors()
+		s.DescriptorLimit = ProcessDescriptors()
 	}
 }
 
@@ -39,14 +39,14 @@
 	if s.MemoryLimit != 0 && s.MemoryLimit < minMemoryLimit {
 		found.add("memory-limit", "%d bytes are fewer than %d MiB", s.MemoryLimit, minMemoryLimit>>20)
 	}
-	most := processDescriptors()
+	most := ProcessDescriptors()
 	if s.DescriptorLimit != 0 && (s.DescriptorLimit < minDescriptorLimit || s.DescriptorLimit > most) {
 		found.add("descriptor-limit", "%d is not between %d and the limit of the process, %d", s.DescriptorLimit, minDescriptorLimit, most)
 	}
 }
 
-// processDescriptors returns the number of descriptors that the process can open.
-func processDescriptors() int {
+// ProcessDescriptors returns the number of descriptors that the process can open.
+func ProcessDescriptors() int {
 	var limit syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
 		return defaultDescriptorLimit
