review: many small tasks keep the agents from everything else

Cause: an agent starts all queued tasks that fit in one call, and goes through all runs for each of them (core/executor, schedule and maxLease). With tens of thousands of small tasks its loop hangs for tens of seconds.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -123,3 +123,37 @@
 	}
 	return nil
 }
+
+// manySmallTasks lets jobs of many small tasks come at once. Once all of them have been answered,
+// it sends ordinary jobs of one task in turn to the entries, and counts those that are served.
+func manySmallTasks(c *cluster, trouble bool) ([]string, error) {
+	const (
+		jobs  = 100
+		tasks = 4000
+		every = 500 * time.Millisecond
+	)
+	var answers sync.WaitGroup
+	for i := range jobs {
+		if !trouble {
+			break
+		}
+		j := job{id: newID(), spec: "ms=1000", phases: []step{{Count: tasks, CPU: 1, MemMB: 1, EstimateMS: 1000}}}
+		answers.Go(func() { c.submit(c.edge[i%len(c.edge)], j, 3*time.Second) })
+	}
+	answers.Wait()
+	time.Sleep(recoveryTime)
+	sent, served := 0, 0
+	for began := time.Now(); time.Since(began) < recoveryTime; time.Sleep(every) {
+		j := job{id: newID(), spec: "ms=20", phases: []step{{Count: 1, CPU: 500, MemMB: 64, EstimateMS: 20}}}
+		if c.submit(c.edge[sent%len(c.edge)], j, 3*time.Second).state() == "completed" {
+			served++
+		}
+		sent++
+	}
+	c.record.add("%d of %d ordinary jobs were served", served, sent)
+	if served > 0 {
+		return nil, nil
+	}
+	return []string{fmt.Sprintf("Fault: none of %d ordinary jobs was served in %v, which began %v after the last job of the burst was answered",
+		sent, recoveryTime, recoveryTime)}, nil
+}
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -27,6 +27,7 @@
 	heartbeatEvery = 1500 * time.Millisecond
 	stopTimeout    = 50 * time.Millisecond
 	graceTime      = 6 * time.Second
+	recoveryTime   = 12 * time.Second
 	// restartDelay is the time after which the platform restarts a process that was killed.
 	restartDelay = 500 * time.Millisecond
 )
@@ -37,6 +38,9 @@
 	metricsPort = 9464
 )
 
+// memoryMB is the memory that a process may use, by class of its machine.
+var memoryMB = map[string]int{"core": 280, "edge": 284, "side": 152}
+
 // Zones of the deployment.
 var zones = []string{"rabat-a", "rabat-b", "rabat-c"}
 
@@ -157,7 +161,7 @@
 		"ip": m.ip, "zone": m.zone, "region": "maroc-nord",
 		"port_range": []int{c.ports.peer, c.ports.peer + 3}, "seeds": seeds, "bootstrap": bootstrap,
 		"counts_as_loss": m.class == "core", "data_dir": nil, "discovery": "local", "entry": "vip",
-		"limits":       map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4096},
+		"limits":       map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryMB[m.class], "max_fds": 4096},
 		"heartbeat_ms": heartbeatEvery.Milliseconds(),
 		"bounds": map[string]any{
 			"contact_ms": contactTime.Milliseconds(), "cancel_ms": cancelTime.Milliseconds(), "drain_ms": drainTime.Milliseconds(),
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -43,6 +43,7 @@
 	"cancel-forgotten": {play: cancelForgotten, sides: 3},
 	"leave-unanswered": {play: leaveUnanswered, sides: 3},
 	"second-owner":     {play: secondOwner, sides: 3},
+	"many-small-tasks": {play: manySmallTasks, sides: 3},
 }
 
 func main() {
