Close the runs of a leaving endpoint only once they have ended

Cause: the agent took the notice for the end of all runs. An endpoint ends after the answer to its notice, or seconds later if it gets none.

Change: the agent stops the runs and extends the endpoint's lease no longer. A run is closed when the endpoint lists its end, when nothing listens at the address any more, when another incarnation answers, or when the lease has expired. This works since each of these comes after the end of the run. An endpoint that has got its answer ends at once, and the next order is refused, so that its tasks move as soon as before.

Ruled out: to wait for the lease only, which delays the tasks of each planned end by a second; to let the runs go on until the endpoint ends.

--- a/core/executor/calls.go
+++ b/core/executor/calls.go
@@ -115,6 +115,7 @@
 		} else {
 			s.handleStopResult(now, pending, result)
 		}
+		s.detectShutdown(now, pending.issued, result.Outcome)
 	}
 	s.advance(now)
 }
--- a/core/executor/incarnation.go
+++ b/core/executor/incarnation.go
@@ -179,24 +179,51 @@
 	})
 }
 
-// EndpointLeft handles the notification that an endpoint has shut down. It names no
+// EndpointLeft handles the notification that an endpoint is about to shut down. It names no
 // incarnation. If the current one is not draining, the notification may be a delayed one of
 // an earlier incarnation: the endpoint then gets no work until it announces itself again, and
 // its runs end only with their lease.
+//
+// The notification does not say that the runs have ended: without an answer to it, the endpoint
+// goes on for seconds. They are stopped, and closed once their ends are known.
 func (s *Supervisor) EndpointLeft(now time.Time, id string) {
 	s.markStarted(now)
 	if id != s.incarnation.ID {
 		return
 	}
-	s.record("endpoint-left", slog.String("life", id), slog.Bool("draining", s.announced.Draining))
+	s.record("endpoint-left", slog.String("life", id), slog.Bool("draining", s.announced.Draining),
+		slog.Int("running", len(s.active)))
 	if !s.announced.Draining {
 		s.announced.Draining = true
 		s.loadVersion++
 		s.returnQueue(zinniasill.ReasonLeaving)
 		return
 	}
+	if s.left {
+		return
+	}
 	s.left = true
-	s.loseEndpoint(now, zinniasill.ReasonEndpointLeft, "endpoint-left")
+	s.leftAt = now
+	s.returnQueue(zinniasill.ReasonEndpointLeft)
+	for _, t := range s.sortedActive() {
+		s.requestStop(t, zinniasill.ReasonEndpointLeft)
+	}
+	s.advance(now)
+}
+
+// detectShutdown handles an order that no process at the endpoint's address accepted. If it
+// was issued after the endpoint notified that it leaves, the endpoint has ended with its runs.
+func (s *Supervisor) detectShutdown(now, issued time.Time, outcome zinniasill.OrderOutcome) {
+	if s.left && s.present && outcome == zinniasill.OrderUnreachable && issued.After(s.leftAt) {
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLeft, "endpoint-left")
+	}
+}
+
+// completeLeaving treats an endpoint that leaves as absent once all of its runs have ended.
+func (s *Supervisor) completeLeaving(now time.Time) {
+	if s.left && s.present && len(s.active) == 0 {
+		s.loseEndpoint(now, zinniasill.ReasonEndpointLeft, "endpoint-left")
+	}
 }
 
 // loseEndpoint closes all tasks and treats the endpoint as absent until its next
--- a/core/executor/lease.go
+++ b/core/executor/lease.go
@@ -49,7 +49,7 @@
 		return
 	}
 	wait := time.Duration(0)
-	if s.mayExtendLease() && busy && !s.suspect() && s.candidate == nil {
+	if s.adopted && busy && !s.suspect() && s.candidate == nil {
 		wait = renewalWait
 	}
 	s.lease.renewing = true
@@ -88,9 +88,10 @@
 
 // mayExtendLease reports whether renewals extend the lease. A renewal without an answer may
 // still be carried out, so after a failure, renewals only ask for an answer: the lease must
-// end if none arrives. Runs that another process started are left to expire.
+// end if none arrives. Runs that another process started, and those at an endpoint that
+// leaves, are left to expire.
 func (s *Supervisor) mayExtendLease() bool {
-	return s.adopted && s.lease.failures == 0
+	return s.adopted && !s.left && s.lease.failures == 0
 }
 
 // maxLease returns how long the endpoint's lease may last from now on. It covers all runs, so
@@ -173,6 +174,7 @@
 	default:
 		s.handleRenewalFailure(now, pending.issued, result.Outcome)
 	}
+	s.detectShutdown(now, pending.issued, result.Outcome)
 	s.advance(now)
 }
 
--- a/core/executor/supervisor.go
+++ b/core/executor/supervisor.go
@@ -111,8 +111,10 @@
 
 	incarnation zinniasill.EndpointIncarnation
 	announced   Announcement
-	present     bool // the endpoint has announced itself and has not left
-	left        bool // this incarnation has shut down
+	present     bool // the endpoint has announced itself and has not ended
+	// left is set once this incarnation has notified, at leftAt, that it shuts down.
+	left   bool
+	leftAt time.Time
 	// candidate is an announcement of another incarnation that the endpoint's answers have
 	// not confirmed yet, received at candidateAt.
 	candidate   *Announcement
--- a/core/executor/tick.go
+++ b/core/executor/tick.go
@@ -17,6 +17,7 @@
 
 // advance performs all actions that have become possible.
 func (s *Supervisor) advance(now time.Time) {
+	s.completeLeaving(now)
 	s.sendDueStops(now)
 	s.schedule(now)
 	s.renewLease(now)
--- a/internal/directmodel/concurrent_test.go
+++ b/internal/directmodel/concurrent_test.go
@@ -160,6 +160,59 @@
 	}
 }
 
+// TestRunsOfLeavingEndpoint guards against a second run of a task whose endpoint has notified
+// its agent that it leaves and has not ended yet: the answer to the notification may be lost,
+// and then the endpoint goes on for seconds.
+func TestRunsOfLeavingEndpoint(t *testing.T) {
+	const never = time.Hour
+	tests := map[string]struct {
+		endsAfter time.Duration
+		disturb   func(faults *directmodel.Faults)
+		// within is the time in which the tasks run elsewhere.
+		within time.Duration
+	}{
+		"ends at once":                   {endsAfter: time.Millisecond, within: 100 * time.Millisecond},
+		"ends late":                      {endsAfter: 2 * time.Second, within: 200 * time.Millisecond},
+		"ends while its runs stop":       {endsAfter: 10 * time.Millisecond, within: 200 * time.Millisecond},
+		"answers nothing until it ends":  {endsAfter: 2 * time.Second, within: 1500 * time.Millisecond, disturb: mute},
+		"answers nothing and is cut off": {endsAfter: never, within: 1500 * time.Millisecond, disturb: mute},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 1, Agents: 2})
+			s.Settle()
+			s.Submit(0, directmodel.Job("a", 8, 5*time.Second))
+			s.Run(300 * time.Millisecond)
+			leaving, other := s.Agents[0], s.Agents[1].Endpoint
+			leaving.Endpoint.Draining = true
+			s.Announce(0)
+			s.Run(20 * time.Millisecond)
+			moved := leaving.Endpoint.Running()
+			if moved == 0 {
+				t.Fatal("nothing runs at the endpoint that leaves")
+			}
+			before := other.Starts
+			if tt.disturb != nil {
+				tt.disturb(&leaving.Endpoint.Faults)
+			}
+			s.After(tt.endsAfter, func() { leaving.Endpoint.Crash(never) })
+			leaving.EndpointLeft(s.Now, leaving.Endpoint.Incarnation.ID)
+			s.Run(tt.within)
+			if starts := other.Starts - before; starts != moved {
+				t.Errorf("%d of %d tasks started elsewhere within %v", starts, moved, tt.within)
+			}
+			s.Run(8 * time.Second)
+			wantOneAnswer(t, s, dispatch.Completed)
+			noViolations(t, s)
+		})
+	}
+}
+
+// mute makes an endpoint answer no calls.
+func mute(faults *directmodel.Faults) {
+	faults.Unresponsive = true
+}
+
 // TestOddAnnouncement guards against a second run of the tasks of an endpoint that runs on,
 // because an announcement under its name tells of an incarnation that does not exist.
 func TestOddAnnouncement(t *testing.T) {
