Let a restarted home learn the held locks before it grants any

What callers saw: an entry is killed and started again while another one works on their jobs.

Cause: an entry is the home of the locks of some jobs and keeps them in memory. After a start it used its empty table at once, for itself and for entries that had no answer of its former incarnation. Those that had one asked the next home for 400 ms, which knows no locks either unless their holders had noticed that the first home was gone.

Change: a home that has just started asks all other entries which locks they hold and what they know as homes (LockRecovery), and grants none until all have told, or for 300 ms. Locks that are held go before requests that wait. This works since each lock is known to its holder, and mostly to a second home; what a home only hears of expires as before. Other entries use a restarted home at once, in place of the next one, which knows less.

Ruled out: the next home for some time after a start, which knows no locks after a restart within 300 ms; a fixed time; locks on disks, which entries do not have.

--- a/core/joblock/locks.go
+++ b/core/joblock/locks.go
@@ -97,6 +97,7 @@
 	l.homes = slices.DeleteFunc(l.homes, func(h *home) bool {
 		return len(h.wanted) == 0 && !slices.Contains(entries, h.id)
 	})
+	l.recover(now)
 }
 
 // tellNextHomes tells the homes that are in charge, or will be once they are trusted, of the
@@ -189,6 +190,10 @@
 		l.answerInquiry(now, env.From.ID, body)
 	case message.LockInquiryReply:
 		l.table.handleInquiryReply(env.From.ID, body)
+	case message.LockRecovery:
+		l.answerRecovery(now, env.From.ID, body)
+	case message.LockRecoveryReply:
+		l.handleRecoveryReply(now, env.From.ID, body)
 	default:
 		return false
 	}
@@ -217,25 +222,16 @@
 // in it.
 func (l *Locks) handleReply(now time.Time, from zinniasill.NodeID, reply message.LockReply) {
 	h := l.home(from)
-	returned := h.silent || h.incarnation != reply.Home && h.incarnation != 0
-	if returned {
-		h.trustedAt = now.Add(returnDelay)
-		if ended := h.heardAt.Add(holderTimeout); ended.After(h.trustedAt) {
-			h.trustedAt = ended // Its own runs have ended by then.
-		}
-	}
-	h.silent = false
-	h.heardAt = now
-	h.incarnation = reply.Home
-	if returned {
-		l.tellReturned(now, h)
-	}
+	l.noteHeard(now, h, reply.Home, reply.Recovering)
 	h.answered = max(h.answered, reply.Sequence)
 	if h.answered >= h.asked {
 		h.askedAt = time.Time{}
 	}
 	l.confirmCancelled(now, h, reply)
 	l.notifyCancelled(h, reply)
+	if reply.Recovering {
+		return
+	}
 	for _, r := range h.wanted {
 		switch {
 		case r.cancelled || r.granted || r.homes[0] != h || r.number > reply.Last:
@@ -249,6 +245,32 @@
 	}
 }
 
+// noteHeard records that an incarnation of a home runs, which has just started if it says so.
+// One that was silent is not used at once: it may not have been told of all locks that are held.
+// One that has restarted asks for them itself before it grants any. It is used at once, so that
+// all entries ask the same home.
+func (l *Locks) noteHeard(now time.Time, h *home, incarnation zinniasill.Incarnation, started bool) {
+	known := h.silent || h.incarnation != 0
+	returned := h.silent
+	restarted := h.incarnation != incarnation && (started || h.incarnation != 0)
+	switch {
+	case restarted && known:
+		// No answer of the former incarnation will come.
+		h.dueAt, h.askedAt, h.trustedAt = now, time.Time{}, time.Time{}
+	case returned:
+		h.trustedAt = now.Add(returnDelay)
+		if ended := h.heardAt.Add(holderTimeout); ended.After(h.trustedAt) {
+			h.trustedAt = ended // Its own runs have ended by then.
+		}
+	}
+	h.silent = false
+	h.heardAt = now
+	h.incarnation = incarnation
+	if returned || restarted {
+		l.tellReturned(now, h)
+	}
+}
+
 // tellReturned tells a home that answers again which locks of its jobs are held. Requests that
 // are not granted go to other homes until it can be trusted.
 func (l *Locks) tellReturned(now time.Time, h *home) {
@@ -280,6 +302,7 @@
 
 // Tick performs the work that is due at the given time.
 func (l *Locks) Tick(now time.Time) {
+	l.completeRecovery(now)
 	for _, reply := range l.table.expire(now, l.others) {
 		l.send(now, reply.to, reply.body)
 	}
@@ -339,6 +362,9 @@
 
 // Flush prepares the messages that are due.
 func (l *Locks) Flush(now time.Time) {
+	for _, id := range l.table.recovery.due(now) {
+		l.send(now, id, message.LockRecovery{Home: l.cfg.Self.Incarnation})
+	}
 	for _, h := range l.homes {
 		if h.due(now) {
 			l.request(now, h)
--- /dev/null
+++ b/core/joblock/restarted_home_test.go
@@ -0,0 +1,126 @@
+package joblock_test
+
+import (
+	"testing"
+	"time"
+
+	"zinniasill"
+)
+
+// restartDelay is the time that the platform takes to start an entry again.
+const restartDelay = 1500 * time.Millisecond
+
+// cutOff drops the messages between two entries for a time, in both directions.
+func cutOff(c *cluster, a, b zinniasill.NodeID, length time.Duration) {
+	end := c.now.Add(length)
+	c.drop = func(from, to zinniasill.NodeID) bool {
+		return c.now.Before(end) && (from == a && to == b || from == b && to == a)
+	}
+}
+
+// TestLockOutlivesRestartOfHome guards against a second holder of a lock whose home restarts
+// while the first one holds it: the home then knows no locks, and grants them to itself and to
+// others.
+func TestLockOutlivesRestartOfHome(t *testing.T) {
+	tests := map[string]struct {
+		downtime time.Duration
+		// disturb acts when the home has just started again.
+		disturb func(c *cluster)
+	}{
+		"restarted at once":        {},
+		"restarted later":          {downtime: restartDelay},
+		"restarted twice":          {downtime: restartDelay, disturb: func(c *cluster) { c.run(10 * time.Millisecond); restartHome(c, 0) }},
+		"link of the holder late":  {downtime: restartDelay, disturb: func(c *cluster) { cutOff(c, "entry-0", "entry-2", 400*time.Millisecond) }},
+		"cut off from the holder":  {downtime: restartDelay, disturb: func(c *cluster) { cutOff(c, "entry-0", "entry-2", time.Hour) }},
+		"an entry ends meanwhile":  {downtime: restartDelay, disturb: func(c *cluster) { c.kill(1) }},
+		"restarted beside another": {downtime: restartDelay, disturb: func(c *cluster) { c.kill(1); c.start(1) }},
+	}
+	for name, tt := range tests {
+		for requester, who := range map[int]string{1: "other entry", 2: "home itself"} {
+			t.Run(name+", "+who, func(t *testing.T) {
+				c := newCluster(4)
+				c.acquire(0)
+				c.run(50 * time.Millisecond)
+				if len(c.entries[0].holds) != lockCount {
+					t.Fatalf("%d of %d locks granted", len(c.entries[0].holds), lockCount)
+				}
+				restartHome(c, tt.downtime)
+				if tt.disturb != nil {
+					tt.disturb(c)
+				}
+				if !c.entries[requester].down {
+					c.acquire(requester)
+				}
+				c.run(4 * time.Second)
+				if len(c.violations) > 0 {
+					t.Errorf("%d of %d locks have two holders, first: %s", len(c.violations), lockCount, c.violations[0])
+				}
+			})
+		}
+	}
+}
+
+// restartHome ends entry 2 and starts it again after downtime.
+func restartHome(c *cluster, downtime time.Duration) {
+	c.kill(2)
+	c.run(downtime)
+	c.start(2)
+}
+
+// TestRestartWhileOwnRunsGoOn guards against a job that an entry begins again after a restart
+// while the runs of its former incarnation go on.
+func TestRestartWhileOwnRunsGoOn(t *testing.T) {
+	c := newCluster(4)
+	c.acquire(2)
+	c.run(50 * time.Millisecond)
+	restartHome(c, 0)
+	c.acquire(2)
+	c.run(4 * time.Second)
+	if len(c.violations) > 0 {
+		t.Errorf("%d of %d jobs begin too early, first: %s", len(c.violations), lockCount, c.violations[0])
+	}
+	if granted := len(c.entries[2].holds); granted != lockCount {
+		t.Errorf("%d of %d locks granted", granted, lockCount)
+	}
+}
+
+// TestGrantsAfterRestart guards against a restarted home that keeps jobs waiting: for entries
+// that answer, for those that have ended, and for locks that have been released meanwhile.
+func TestGrantsAfterRestart(t *testing.T) {
+	tests := map[string]struct {
+		disturb func(c *cluster)
+		within  time.Duration
+	}{
+		"quiet":          {within: 50 * time.Millisecond},
+		"an entry ended": {within: 600 * time.Millisecond, disturb: func(c *cluster) { c.kill(1) }},
+		"released":       {within: 200 * time.Millisecond, disturb: func(c *cluster) { c.acquire(0) }},
+		"released while cut off": {within: 1800 * time.Millisecond, disturb: func(c *cluster) {
+			c.acquire(0)
+			c.run(50 * time.Millisecond)
+			cutOff(c, "entry-0", "entry-2", time.Hour)
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(4)
+			c.run(50 * time.Millisecond)
+			if tt.disturb != nil {
+				tt.disturb(c)
+				c.run(50 * time.Millisecond)
+			}
+			restartHome(c, restartDelay)
+			c.run(20 * time.Millisecond)
+			for i := range lockCount {
+				c.release(0, jobName(i))
+			}
+			c.acquire(2)
+			c.run(tt.within)
+			if granted := len(c.entries[2].holds); granted != lockCount {
+				t.Errorf("%d of %d locks granted within %v", granted, lockCount, tt.within)
+			}
+			if len(c.violations) > 0 {
+				t.Errorf("violations: %v", c.violations)
+			}
+		})
+	}
+}
--- a/core/joblock/table.go
+++ b/core/joblock/table.go
@@ -25,9 +25,11 @@
 	owners    map[zinniasill.Incarnation]*owner
 	inquiries uint64 // number of the last inquiry
 	cancelled tombstones
+	recovery  recovery
 }
 
-// lock is the lock of one job. Its first claim is that of the holder; the others wait.
+// lock is the lock of one job. Its first claim is that of the holder; the others wait. During
+// the recovery, the first one waits as well unless it is known to be granted.
 type lock struct {
 	claims []claim
 }
@@ -36,6 +38,13 @@
 type claim struct {
 	owner  *owner
 	number uint64
+	// granted is set if it was granted by another home, or before this one has started.
+	granted bool
+}
+
+// of reports whether the claim is the request of an owner with this number.
+func (c claim) of(o *owner, number uint64) bool {
+	return c.owner == o && c.number == number
 }
 
 // owner is one incarnation of an entry that wants locks.
@@ -47,6 +56,9 @@
 	heardAt     time.Time
 	// inquiry is the last one about this owner since it was heard, nil if there is none.
 	inquiry *inquiry
+	// recovered is set once the owner itself has told which locks it holds. What others know of
+	// them is older then.
+	recovered bool
 	// known are the cancelled jobs of its newest message whose locks are wanted.
 	known []string
 }
@@ -61,17 +73,24 @@
 	return &table{
 		self: self, locks: map[string]*lock{}, owners: map[zinniasill.Incarnation]*owner{},
 		cancelled: tombstones{until: map[string]time.Time{}},
+		recovery:  recovery{asked: map[zinniasill.NodeID]time.Time{}},
+	}
+}
+
+// owner returns the owner with this incarnation, which it creates if needed.
+func (t *table) owner(now time.Time, id zinniasill.NodeID, incarnation zinniasill.Incarnation) *owner {
+	o := t.owners[incarnation]
+	if o == nil {
+		o = &owner{id: id, incarnation: incarnation, heardAt: now}
+		t.owners[incarnation] = o
 	}
+	return o
 }
 
 // update replaces the claims of an entry. It returns the answer, and messages to the entries
 // that locks have passed to.
 func (t *table) update(now time.Time, from zinniasill.NodeID, request message.LockRequest) []outgoing {
-	o := t.owners[request.Entry]
-	if o == nil {
-		o = &owner{id: from, incarnation: request.Entry}
-		t.owners[request.Entry] = o
-	}
+	o := t.owner(now, from, request.Entry)
 	o.heardAt = now
 	o.inquiry = nil
 	if request.Sequence <= o.sequence {
@@ -134,9 +153,8 @@
 		k = &lock{}
 		t.locks[wanted.Job] = k
 	}
-	c := claim{owner: o, number: wanted.Number}
-	if !slices.Contains(k.claims, c) {
-		k.claims = append(k.claims, c)
+	if !slices.ContainsFunc(k.claims, func(c claim) bool { return c.of(o, wanted.Number) }) {
+		k.claims = append(k.claims, claim{owner: o, number: wanted.Number})
 	}
 }
 
@@ -149,7 +167,7 @@
 		}
 		messages = append(messages, outgoing{to: o.id, body: message.LockReply{
 			Entry: o.incarnation, Sequence: o.sequence, Last: o.last, Granted: t.heldBy(o), Home: t.self.Incarnation,
-			Cancelled: t.cancelledOf(o), Known: o.known,
+			Cancelled: t.cancelledOf(o), Known: o.known, Recovering: t.recovering(),
 		}})
 	}
 	return messages
@@ -159,10 +177,15 @@
 func (t *table) heldBy(o *owner) []uint64 {
 	var held []uint64
 	for _, k := range t.locks {
-		if k.claims[0].owner == o {
+		if k.claims[0].owner == o && t.holds(k) {
 			held = append(held, k.claims[0].number)
 		}
 	}
 	slices.Sort(held)
 	return held
 }
+
+// holds reports whether the first claim of a lock has been granted.
+func (t *table) holds(k *lock) bool {
+	return k.claims[0].granted || !t.recovering()
+}
--- a/core/message/joblock.go
+++ b/core/message/joblock.go
@@ -1,6 +1,10 @@
 package message
 
-import "zinniasill"
+import (
+	"time"
+
+	"zinniasill"
+)
 
 // The messages in this file carry the locks of direct jobs between entries, see package
 // joblock.
@@ -43,6 +47,9 @@
 	// Known are the jobs that the newest LockRequest tells to be cancelled and whose locks are
 	// wanted by an entry.
 	Known []string `cbor:"7,keyasint,omitempty"`
+	// Recovering is set while the home, which has just started, does not know yet which locks
+	// are held. It then grants none, and a lock that is not granted need not be held by another.
+	Recovering bool `cbor:"8,keyasint,omitempty"`
 }
 
 // LockInquiry asks an entry which locks another entry, which the sender no longer hears, still
@@ -66,3 +73,29 @@
 	// sender knows from the owner itself.
 	Wanted []string `cbor:"4,keyasint,omitempty"`
 }
+
+// LockRecovery asks an entry which locks are held. A home that has just started sends it.
+type LockRecovery struct {
+	// Home is the incarnation of the sending home.
+	Home zinniasill.Incarnation `cbor:"1,keyasint"`
+}
+
+// LockRecoveryReply answers a LockRecovery.
+type LockRecoveryReply struct {
+	// Home is that of the LockRecovery.
+	Home zinniasill.Incarnation `cbor:"1,keyasint"`
+	// Held are the locks that the sender holds.
+	Held HeldLocks `cbor:"2,keyasint"`
+	// Others are the locks that others want or hold, as far as the sender knows as a home.
+	Others []HeldLocks `cbor:"3,keyasint,omitempty"`
+}
+
+// HeldLocks are locks that one entry holds.
+type HeldLocks struct {
+	// Entry is the node and Owner the incarnation that holds them.
+	Entry zinniasill.NodeID      `cbor:"1,keyasint"`
+	Owner zinniasill.Incarnation `cbor:"2,keyasint"`
+	Locks []WantedLock           `cbor:"3,keyasint,omitempty"`
+	// Silence is the time for which the sender has not heard the holder.
+	Silence time.Duration `cbor:"4,keyasint,omitempty"`
+}
--- a/internal/directmodel/concurrent_test.go
+++ b/internal/directmodel/concurrent_test.go
@@ -213,6 +213,30 @@
 	faults.Unresponsive = true
 }
 
+// TestResentToRestartedEntry guards against a second run of a task of a job that its caller
+// sends again to an entry that has just restarted, while another entry works on the job.
+func TestResentToRestartedEntry(t *testing.T) {
+	const jobs = 12 // Enough for each entry to be the home of some.
+	for _, downtime := range []time.Duration{20 * time.Millisecond, resendDelay} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			s := directmodel.New(directmodel.Config{Entries: 3, Agents: 4})
+			s.Settle()
+			for i := range jobs {
+				s.Submit(0, directmodel.Job(fmt.Sprintf("job-%d", i), 1, 4*time.Second))
+			}
+			s.Run(100 * time.Millisecond)
+			s.KillEntry(1)
+			s.Run(downtime)
+			s.RestartEntry(1)
+			for i := range jobs {
+				s.Submit(1, directmodel.Job(fmt.Sprintf("job-%d", i), 1, 4*time.Second))
+			}
+			s.Run(12 * time.Second)
+			noViolations(t, s)
+		})
+	}
+}
+
 // TestOddAnnouncement guards against a second run of the tasks of an endpoint that runs on,
 // because an announcement under its name tells of an incarnation that does not exist.
 func TestOddAnnouncement(t *testing.T) {
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -72,6 +72,8 @@
 		{Number: 39, Sample: message.LockReply{}},
 		{Number: 40, Sample: message.LockInquiry{}},
 		{Number: 41, Sample: message.LockInquiryReply{}},
+		{Number: 42, Sample: message.LockRecovery{}},
+		{Number: 43, Sample: message.LockRecoveryReply{}},
 		{Number: 19, Sample: message.AttachReply{}, Class: ClassBulk},
 		{Number: 20, Sample: message.HandoverPart{}, Class: ClassBulk},
 		{Number: 21, Sample: message.HandoverAck{}},
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -84,6 +84,8 @@
 	anyOf[message.LockReply](),
 	anyOf[message.LockInquiry](),
 	anyOf[message.LockInquiryReply](),
+	anyOf[message.LockRecovery](),
+	anyOf[message.LockRecoveryReply](),
 }
 
 // bundle generates a bundle of two other bodies.
