Let a restarted entry learn the cancelled jobs as well

The entry had forgotten the cancels and granted itself locks from its empty table, while two other memories of each cancel were not asked.

Evidence: on the commit before, --- FAIL: TestCancelOutlivesRestart/1.5s 3 cancelled jobs may begin at entry 2 entry 1 was told that 18 of 30 jobs are cancelled

Change: the answer to a LockRecovery has the cancelled jobs, and a restarted home grants no lock before it has them. This works since two homes of a job remember its cancel for a minute.

--- a/core/joblock/cancel_test.go
+++ b/core/joblock/cancel_test.go
@@ -90,3 +90,28 @@
 		}
 	}
 }
+
+// TestCancelOutlivesRestart guards against a cancelled job that begins again because the entry
+// that was told, which is also a home of jobs, has restarted.
+func TestCancelOutlivesRestart(t *testing.T) {
+	for _, downtime := range []time.Duration{0, restartDelay} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			c := newCluster(4)
+			c.run(50 * time.Millisecond)
+			c.cancelAll(2, 100*time.Millisecond)
+			restartHome(c, downtime)
+			c.acquire(2)
+			c.run(time.Second)
+			c.acquire(1)
+			c.run(time.Second)
+			for _, i := range []int{1, 2} {
+				if begun := len(c.entries[i].holds); begun > 0 {
+					t.Errorf("%d cancelled jobs may begin at entry %d", begun, i)
+				}
+				if told := len(c.entries[i].cancelled); told != lockCount {
+					t.Errorf("entry %d was told that %d of %d jobs are cancelled", i, told, lockCount)
+				}
+			}
+		})
+	}
+}
--- a/core/joblock/recovery.go
+++ b/core/joblock/recovery.go
@@ -15,8 +15,8 @@
 // entries that do not tell it which locks are held.
 const recoveryTimeout = answerTimeout
 
-// recovery is the state of a home that has just started. It does not know which locks are held,
-// and grants none until all other entries have told it.
+// recovery is the state of a home that has just started. It does not know which locks are held
+// and which jobs are cancelled, and grants no lock until all other entries have told it.
 type recovery struct {
 	// beganAt is when the entry learned of the others, zero before.
 	beganAt time.Time
@@ -63,7 +63,8 @@
 }
 
 // restore adds the locks that another entry has told to be held: its own, which replace what
-// was known of them, and those that entries may hold which have not told themselves.
+// was known of them, and those that entries may hold which have not told themselves. It also
+// adds the cancelled jobs.
 func (t *table) restore(now time.Time, from zinniasill.NodeID, reply message.LockRecoveryReply) {
 	own := t.owner(now, from, reply.Held.Owner)
 	own.heardAt, own.inquiry, own.recovered = now, nil, true
@@ -79,6 +80,11 @@
 			t.restoreLocks(o, other.Locks)
 		}
 	}
+	for _, job := range reply.Cancelled {
+		if !t.cancelled.has(job) {
+			t.cancelled.add(now, job)
+		}
+	}
 }
 
 // restoreLocks adds the claims of locks that an owner holds, before those of others that wait.
@@ -171,6 +177,7 @@
 		}
 	}
 	reply.Others = l.table.claimsOfOthers(now, body.Home)
+	reply.Cancelled = slices.Sorted(maps.Keys(l.table.cancelled.until))
 	l.send(now, from, reply)
 }
 
--- a/core/message/joblock.go
+++ b/core/message/joblock.go
@@ -74,7 +74,8 @@
 	Wanted []string `cbor:"4,keyasint,omitempty"`
 }
 
-// LockRecovery asks an entry which locks are held. A home that has just started sends it.
+// LockRecovery asks an entry which locks are held and which jobs are cancelled. A home that has
+// just started sends it.
 type LockRecovery struct {
 	// Home is the incarnation of the sending home.
 	Home zinniasill.Incarnation `cbor:"1,keyasint"`
@@ -88,6 +89,8 @@
 	Held HeldLocks `cbor:"2,keyasint"`
 	// Others are the locks that others want or hold, as far as the sender knows as a home.
 	Others []HeldLocks `cbor:"3,keyasint,omitempty"`
+	// Cancelled are the jobs that the sender remembers as cancelled.
+	Cancelled []string `cbor:"4,keyasint,omitempty"`
 }
 
 // HeldLocks are locks that one entry holds.
