Put locks that their owners told before those that others told

Cause: a home tells all claims that it has, since one that waits there may have been granted by another home. They were restored in the order in which the answers arrived.

Evidence: TestHolderBeforeUncertainClaim fails with that order: granted locks map[holder:0 waiter:1 witness:0], want one of the holder

Change: locks that an owner tells to hold go first. This works since an entry knows for certain what it holds. The type of the message is named after claims, since it has both.

--- a/core/joblock/recovery.go
+++ b/core/joblock/recovery.go
@@ -73,11 +73,11 @@
 		held[wanted.Number] = true
 	}
 	t.drop(func(c claim) bool { return c.owner == own && c.granted && !held[c.number] })
-	t.restoreLocks(own, reply.Held.Locks)
+	t.restoreLocks(own, reply.Held.Locks, true)
 	for _, other := range reply.Others {
 		o := t.owner(now.Add(-max(other.Silence, 0)), other.Entry, other.Owner)
 		if !o.recovered {
-			t.restoreLocks(o, other.Locks)
+			t.restoreLocks(o, other.Locks, false)
 		}
 	}
 	for _, job := range reply.Cancelled {
@@ -87,20 +87,21 @@
 	}
 }
 
-// restoreLocks adds the claims of locks that an owner holds, before those of others that wait.
-func (t *table) restoreLocks(o *owner, locks []message.WantedLock) {
+// restoreLocks adds the claims of locks that an owner holds, before those of others that wait. If
+// it is certain that the owner holds them, they also go before those that others may hold.
+func (t *table) restoreLocks(o *owner, locks []message.WantedLock, certain bool) {
 	for _, wanted := range locks {
-		k := t.locks[wanted.Job]
-		if k == nil {
-			k = &lock{}
-			t.locks[wanted.Job] = k
-		}
 		if !t.recovering() {
 			t.claim(o, wanted)
 			continue
 		}
+		k := t.lock(wanted.Job)
 		k.claims = slices.DeleteFunc(k.claims, func(c claim) bool { return c.of(o, wanted.Number) })
-		k.claims = slices.Insert(k.claims, k.granted(), claim{owner: o, number: wanted.Number, granted: true})
+		at := 0
+		if !certain {
+			at = k.granted()
+		}
+		k.claims = slices.Insert(k.claims, at, claim{owner: o, number: wanted.Number, granted: true})
 	}
 }
 
@@ -120,19 +121,19 @@
 
 // claimsOfOthers returns the locks that others than self and except want or hold at this home,
 // by owner. One that waits here may have been granted by another home.
-func (t *table) claimsOfOthers(now time.Time, except zinniasill.Incarnation) []message.HeldLocks {
+func (t *table) claimsOfOthers(now time.Time, except zinniasill.Incarnation) []message.LockClaims {
 	claims := map[*owner][]message.WantedLock{}
 	for _, job := range slices.Sorted(maps.Keys(t.locks)) {
 		for _, c := range t.locks[job].claims {
 			claims[c.owner] = append(claims[c.owner], message.WantedLock{Job: job, Number: c.number})
 		}
 	}
-	var all []message.HeldLocks
+	var all []message.LockClaims
 	for _, o := range t.allOwners() {
 		if len(claims[o]) == 0 || o.incarnation == t.self.Incarnation || o.incarnation == except {
 			continue
 		}
-		all = append(all, message.HeldLocks{
+		all = append(all, message.LockClaims{
 			Entry: o.id, Owner: o.incarnation, Locks: claims[o], Silence: now.Sub(o.heardAt),
 		})
 	}
@@ -170,7 +171,7 @@
 	h := l.home(from)
 	l.noteHeard(now, h, body.Home, true)
 	l.tellReturned(now, h)
-	reply := message.LockRecoveryReply{Home: body.Home, Held: message.HeldLocks{Entry: l.cfg.Self.ID, Owner: l.cfg.Self.Incarnation}}
+	reply := message.LockRecoveryReply{Home: body.Home, Held: message.LockClaims{Entry: l.cfg.Self.ID, Owner: l.cfg.Self.Incarnation}}
 	for _, job := range slices.Sorted(maps.Keys(l.wanted)) {
 		if r := l.wanted[job]; r.granted {
 			reply.Held.Locks = append(reply.Held.Locks, message.WantedLock{Job: job, Number: r.number})
--- a/core/joblock/restarted_home_test.go
+++ b/core/joblock/restarted_home_test.go
@@ -7,6 +7,8 @@
 	"pgregory.net/rapid"
 
 	"zinniasill"
+	"zinniasill/core/joblock"
+	"zinniasill/core/message"
 )
 
 // restartDelay is the time that the platform takes to start an entry again.
@@ -157,3 +159,35 @@
 		}
 	})
 }
+
+// TestHolderBeforeUncertainClaim guards against a restarted home that grants a lock to an entry
+// which waits for it, because another entry told of its claim and it did not tell itself.
+func TestHolderBeforeUncertainClaim(t *testing.T) {
+	const home, waiter, holder, witness = 1, 2, 3, 4
+	now := time.Unix(1_000_000, 0)
+	l := joblock.New(joblock.Config{Self: zinniasill.Node{ID: "home", Incarnation: home}})
+	l.SetEntries(now, []zinniasill.NodeID{"home", "waiter", "holder", "witness"})
+	receive := func(from zinniasill.NodeID, body any) {
+		l.Receive(now, message.Envelope{From: zinniasill.Node{ID: from}, Body: body})
+	}
+	wanted := []message.WantedLock{{Job: "a", Number: 1}}
+	receive("waiter", message.LockRequest{Entry: waiter, Sequence: 1, Last: 1, Wanted: wanted})
+	receive("witness", message.LockRecoveryReply{
+		Home: home, Held: message.LockClaims{Entry: "witness", Owner: witness},
+		Others: []message.LockClaims{{Entry: "waiter", Owner: waiter, Locks: wanted}},
+	})
+	receive("holder", message.LockRecoveryReply{
+		Home: home, Held: message.LockClaims{Entry: "holder", Owner: holder, Locks: wanted},
+	})
+	now = now.Add(500 * time.Millisecond)
+	l.Tick(now)
+	granted := map[zinniasill.NodeID]int{}
+	for _, env := range l.Outbox() {
+		if reply, ok := env.Body.(message.LockReply); ok && !reply.Recovering {
+			granted[env.To.ID] += len(reply.Granted)
+		}
+	}
+	if granted["holder"] != 1 || granted["waiter"] != 0 {
+		t.Errorf("granted locks %v, want one of the holder", granted)
+	}
+}
--- a/core/joblock/table.go
+++ b/core/joblock/table.go
@@ -38,7 +38,8 @@
 type claim struct {
 	owner  *owner
 	number uint64
-	// granted is set if it was granted by another home, or before this one has started.
+	// granted is set if it was, or may have been, granted by another home or before this one
+	// has started.
 	granted bool
 }
 
@@ -146,13 +147,19 @@
 	return passed
 }
 
-// claim adds a claim unless it is there.
-func (t *table) claim(o *owner, wanted message.WantedLock) {
-	k := t.locks[wanted.Job]
+// lock returns the lock of a job, which it creates if needed.
+func (t *table) lock(job string) *lock {
+	k := t.locks[job]
 	if k == nil {
 		k = &lock{}
-		t.locks[wanted.Job] = k
+		t.locks[job] = k
 	}
+	return k
+}
+
+// claim adds a claim unless it is there.
+func (t *table) claim(o *owner, wanted message.WantedLock) {
+	k := t.lock(wanted.Job)
 	if !slices.ContainsFunc(k.claims, func(c claim) bool { return c.of(o, wanted.Number) }) {
 		k.claims = append(k.claims, claim{owner: o, number: wanted.Number})
 	}
--- a/core/message/joblock.go
+++ b/core/message/joblock.go
@@ -86,19 +86,19 @@
 	// Home is that of the LockRecovery.
 	Home zinniasill.Incarnation `cbor:"1,keyasint"`
 	// Held are the locks that the sender holds.
-	Held HeldLocks `cbor:"2,keyasint"`
+	Held LockClaims `cbor:"2,keyasint"`
 	// Others are the locks that others want or hold, as far as the sender knows as a home.
-	Others []HeldLocks `cbor:"3,keyasint,omitempty"`
+	Others []LockClaims `cbor:"3,keyasint,omitempty"`
 	// Cancelled are the jobs that the sender remembers as cancelled.
 	Cancelled []string `cbor:"4,keyasint,omitempty"`
 }
 
-// HeldLocks are locks that one entry holds.
-type HeldLocks struct {
-	// Entry is the node and Owner the incarnation that holds them.
+// LockClaims are locks that one entry holds, or wants or holds.
+type LockClaims struct {
+	// Entry is the node and Owner the incarnation that claims them.
 	Entry zinniasill.NodeID      `cbor:"1,keyasint"`
 	Owner zinniasill.Incarnation `cbor:"2,keyasint"`
 	Locks []WantedLock           `cbor:"3,keyasint,omitempty"`
-	// Silence is the time for which the sender has not heard the holder.
+	// Silence is the time for which the sender has not heard the owner.
 	Silence time.Duration `cbor:"4,keyasint,omitempty"`
 }
