--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -2,10 +2,10 @@
 // project's own programs on loopback addresses, with stand-ins for clients, the operator,
 // executors and the platform, and checks one rule.
 //
-//	review-3 CASE FOLDER
+//	review-3 CASE RECORD
 //
 // It is started in the root of the repository, after the build of the deploy file. It writes
-// FOLDER/record.txt and exits with 0 if the rule held, 1 if it was broken, and 2 if the case
+// the file RECORD and exits with 0 if the rule held, 1 if it was broken, and 2 if the case
 // could not run. With TROUBLE=0 in the environment it leaves the disruption out.
 package main
 
@@ -14,7 +14,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -54,10 +53,10 @@
 // run runs the case that the arguments name and returns the exit code.
 func run(args []string) int {
 	if len(args) != 2 || scenarios[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
 		return exitNotRun
 	}
-	rec, err := newRecord(filepath.Join(args[1], "record.txt"))
+	rec, err := newRecord(args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "review-3:", err)
 		return exitNotRun
